--- /dev/null
+++ b/allowance/budget.go
@@ -0,0 +1,77 @@
+package allowance
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// shardCount is the number of locks that the workspaces are spread over.
+	shardCount = 16
+	// maxSaved is the largest number of retries a workspace can save up.
+	maxSaved = 20
+)
+
+// Budget holds the retry budget of every workspace. It is safe for
+// concurrent use.
+type Budget struct {
+	shards [shardCount]shard
+}
+
+type shard struct {
+	mu    sync.Mutex
+	saved map[string]float64
+}
+
+// NewBudget returns a Budget in which nothing is saved yet.
+func NewBudget() *Budget {
+	b := &Budget{}
+	for i := range b.shards {
+		b.shards[i].saved = map[string]float64{}
+	}
+	return b
+}
+
+// Earn counts a first attempt of the workspace. The share is the part of its
+// requests that may be retries, such as 0.1.
+func (b *Budget) Earn(workspace string, share float64) {
+	s := b.shard(workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved[workspace] = min(s.saved[workspace]+share, maxSaved)
+}
+
+// Spend reports whether the workspace may send a retry, and counts it.
+func (b *Budget) Spend(workspace string) bool {
+	s := b.shard(workspace)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.saved[workspace] < 1 {
+		return false
+	}
+	s.saved[workspace]--
+	return true
+}
+
+func (b *Budget) shard(workspace string) *shard {
+	h := uint32(2166136261)
+	for i := range len(workspace) {
+		h = (h ^ uint32(workspace[i])) * 16777619
+	}
+	return &b.shards[h%shardCount]
+}
+
+const (
+	firstBackoff = 20 * time.Millisecond
+	lastBackoff  = 2 * time.Second
+)
+
+// Backoff returns the delay before the retry of the number, counted from 0.
+// The random number lies in [0, 1) and spreads the retries of many callers.
+func Backoff(retry int, random float64) time.Duration {
+	d := lastBackoff
+	if retry < 7 {
+		d = min(firstBackoff<<retry, lastBackoff)
+	}
+	return time.Duration((0.5 + random/2) * float64(d))
+}
--- /dev/null
+++ b/desk/desk.go
@@ -0,0 +1,236 @@
+package desk
+
+import (
+	"sync"
+	"time"
+
+	"vanillalug.example/schedule"
+)
+
+// Desk admits requests to one engine. It is safe for concurrent use.
+type Desk struct {
+	mu       sync.Mutex
+	clock    schedule.Clock
+	opts     options
+	slots    int
+	closed   bool
+	pool     Pool
+	running  map[string]Request
+	usages   usages
+	queue    *queue
+	changes  changeLog
+	foreign  int
+	reported time.Time
+	rate     rate
+}
+
+// New returns the Desk of an engine that runs up to slots requests at once.
+func New(clock schedule.Clock, slots int, opts ...Option) *Desk {
+	o := defaultOptions()
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Desk{
+		clock:   clock,
+		opts:    o,
+		slots:   slots,
+		pool:    NewPool(1, 0, 1, slots),
+		running: map[string]Request{},
+		usages:  usages{},
+		queue:   newQueue(),
+	}
+}
+
+// Handle takes an event and returns the answers that follow from it, which
+// may be about other requests that were waiting.
+func (d *Desk) Handle(ev Event) []Effect {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock.Now()
+	switch e := ev.(type) {
+	case Arrive:
+		return d.arrive(now, e)
+	case Finished:
+		return d.finished(now, e.ID)
+	case Withdrawn:
+		d.queue.remove(func(w waiting) bool { return w.request.id == e.ID })
+		return nil
+	case Reported:
+		d.reportedLoad(now, e)
+		return d.drain(now)
+	case PoolChanged:
+		d.pool = e.Pool
+		return d.drain(now)
+	case Resized:
+		d.slots = e.Slots
+		d.closed = false
+		return d.drain(now)
+	case Closed:
+		return d.close()
+	case Tick:
+		return d.tick(now)
+	}
+	return nil
+}
+
+// Load returns the number of requests in flight at the engine, those that
+// other routers admitted included.
+func (d *Desk) Load() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.load(d.clock.Now())
+}
+
+// Waiting returns the number of requests in the queue.
+func (d *Desk) Waiting() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queue.size
+}
+
+// Idle reports whether no request of this desk is running or waiting.
+func (d *Desk) Idle() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.running) == 0 && d.queue.size == 0
+}
+
+func (d *Desk) arrive(now time.Time, e Arrive) []Effect {
+	r := e.Request
+	d.pool = e.Pool
+	if d.closed {
+		return []Effect{d.refuse(r, EngineClosed)}
+	}
+	d.usages.touch(now, r.workspace, r.share)
+	if d.queue.size == 0 && d.hasRoom(now, r) {
+		return []Effect{d.admit(now, r, 0)}
+	}
+	if engine, ok := d.roomElsewhere(e); ok {
+		return []Effect{Elsewhere{ID: r.id, Engine: engine}}
+	}
+	return d.enqueue(now, r)
+}
+
+// roomElsewhere returns the first alternative under the bound of the pool.
+func (d *Desk) roomElsewhere(e Arrive) (string, bool) {
+	if e.Last {
+		return "", false
+	}
+	limit := e.Pool.Limit()
+	for _, a := range e.Alternatives {
+		if a.load < min(limit, a.slots) {
+			return a.engine, true
+		}
+	}
+	return "", false
+}
+
+func (d *Desk) enqueue(now time.Time, r Request) []Effect {
+	waiting := waiting{request: r, arrived: now, deadline: now.Add(r.deadline)}
+	if d.queue.waitingIn(r.class) >= r.limit {
+		return []Effect{d.refuse(r, QueueFull)}
+	}
+	if d.rate.timeFor(d.queue.waitingIn(r.class)) > r.deadline {
+		return []Effect{d.refuse(r, QueueTooSlow)}
+	}
+	d.queue.push(waiting)
+	out := []Effect{Wait{ID: r.id}}
+	return append(out, d.drain(now)...)
+}
+
+func (d *Desk) finished(now time.Time, id string) []Effect {
+	r, ok := d.running[id]
+	if !ok {
+		return nil
+	}
+	delete(d.running, id)
+	if u, ok := d.usages[r.workspace]; ok {
+		u.running--
+	}
+	d.changes.add(now, -1)
+	d.rate.finished(now, d.queue.size > 0)
+	return d.drain(now)
+}
+
+// drain admits waiting requests while there is room for any of them.
+func (d *Desk) drain(now time.Time) []Effect {
+	var out []Effect
+	for !d.closed {
+		w, ok := d.queue.pop(func(r Request) bool { return d.hasRoom(now, r) })
+		if !ok {
+			return out
+		}
+		out = append(out, d.admit(now, w.request, now.Sub(w.arrived)))
+	}
+	return out
+}
+
+func (d *Desk) admit(now time.Time, r Request, waited time.Duration) Effect {
+	d.running[r.id] = r
+	d.usages.touch(now, r.workspace, r.share)
+	d.usages[r.workspace].running++
+	d.changes.add(now, 1)
+	return Admit{ID: r.id, Waited: waited}
+}
+
+func (d *Desk) tick(now time.Time) []Effect {
+	var out []Effect
+	for _, w := range d.queue.remove(func(w waiting) bool { return !now.Before(w.deadline) }) {
+		out = append(out, d.refuse(w.request, QueueDeadline))
+	}
+	d.usages.expire(now)
+	d.queue.forgetIdle()
+	return append(out, d.drain(now)...)
+}
+
+func (d *Desk) close() []Effect {
+	d.closed = true
+	var out []Effect
+	for _, w := range d.queue.remove(func(waiting) bool { return true }) {
+		out = append(out, d.refuse(w.request, EngineClosed))
+	}
+	return out
+}
+
+// hasRoom reports whether the request may start now. Once the unreserved part
+// of the engine is taken, only workspaces under their fair share may start.
+func (d *Desk) hasRoom(now time.Time, r Request) bool {
+	limit := min(d.slots, d.pool.Limit())
+	load := d.load(now)
+	if load >= limit {
+		return false
+	}
+	if load < limit-limit/reserveDivisor {
+		return true
+	}
+	d.usages.touch(now, r.workspace, r.share)
+	return d.usages[r.workspace].running < d.usages.fairShare(r.workspace, limit)
+}
+
+// load returns the own count and the requests that the engine reported beyond
+// it, which another router admitted while the routers disagreed.
+func (d *Desk) load(now time.Time) int {
+	own := len(d.running)
+	if d.reported.IsZero() || now.Sub(d.reported) > reportLifetime {
+		return own
+	}
+	return own + d.foreign
+}
+
+func (d *Desk) reportedLoad(now time.Time, e Reported) {
+	at := now.Add(-e.Age)
+	if at.Before(d.reported) {
+		return
+	}
+	ownThen := len(d.running) - d.changes.since(at)
+	d.foreign = max(0, e.InFlight-ownThen)
+	d.reported = at
+	d.changes.forget(at)
+}
+
+// refuse spreads the callers over the time that the queue needs.
+func (d *Desk) refuse(r Request, reason Reason) Effect {
+	wait := max(minRetryAfter, d.rate.timeFor(d.queue.waitingIn(r.class)))
+	spread := time.Duration((1 + d.opts.random()) * float64(wait))
+	return Refuse{ID: r.id, Reason: reason, RetryAfter: min(spread, maxRetryAfter)}
+}
--- /dev/null
+++ b/desk/event.go
@@ -0,0 +1,49 @@
+package desk
+
+import "time"
+
+// Event is something that happened to a Desk.
+type Event interface{ deskEvent() }
+
+// Arrive brings a request. Alternatives are the other engines that may serve
+// it, best first; Last says that the request must not be sent elsewhere.
+type Arrive struct {
+	Request      Request
+	Pool         Pool
+	Alternatives []Alternative
+	Last         bool
+}
+
+// Finished says that an admitted request has ended.
+type Finished struct{ ID string }
+
+// Withdrawn says that the caller of a waiting request has gone.
+type Withdrawn struct{ ID string }
+
+// Reported brings the engine's own count of requests in flight, and how long
+// ago the engine took it.
+type Reported struct {
+	InFlight int
+	Age      time.Duration
+}
+
+// PoolChanged brings a new view of the load of the engines together.
+type PoolChanged struct{ Pool Pool }
+
+// Resized brings the largest number of requests that the engine runs at once.
+type Resized struct{ Slots int }
+
+// Closed says that the engine takes no new work any more.
+type Closed struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Arrive) deskEvent()      {}
+func (Finished) deskEvent()    {}
+func (Withdrawn) deskEvent()   {}
+func (Reported) deskEvent()    {}
+func (PoolChanged) deskEvent() {}
+func (Resized) deskEvent()     {}
+func (Closed) deskEvent()      {}
+func (Tick) deskEvent()        {}
--- /dev/null
+++ b/desk/pool.go
@@ -0,0 +1,42 @@
+package desk
+
+import "math"
+
+// Pool is the load of all engines that can stand in for each other.
+type Pool struct {
+	engines int
+	load    int
+	bound   float64
+	floor   int
+}
+
+// NewPool returns the load of a number of live engines. The bound is the
+// largest multiple of the mean that one may carry; the floor is what each may
+// always carry.
+func NewPool(engines, load int, bound float64, floor int) Pool {
+	return Pool{engines: engines, load: load, bound: bound, floor: floor}
+}
+
+// Limit returns the largest load of one engine, the next request included.
+func (p Pool) Limit() int {
+	if p.engines == 0 {
+		return p.floor
+	}
+	mean := float64(p.load+1) / float64(p.engines)
+	return max(p.floor, int(math.Ceil(p.bound*mean)))
+}
+
+// Alternative is another engine that may serve a request.
+type Alternative struct {
+	engine string
+	load   int
+	slots  int
+}
+
+// NewAlternative returns an engine with its last known load.
+func NewAlternative(engine string, load, slots int) Alternative {
+	return Alternative{engine: engine, load: load, slots: slots}
+}
+
+// Engine returns the name of the engine.
+func (a Alternative) Engine() string { return a.engine }
--- /dev/null
+++ b/dispatch/event.go
@@ -0,0 +1,73 @@
+package dispatch
+
+import "vanillalug.example"
+
+// Event is something that happened to a Keeper.
+type Event interface{ keeperEvent() }
+
+// Asked asks where a chat is cached. Next is the engine that follows this one
+// in the chat's rendezvous order. Inherited says that another keeper sent the
+// chat here because it did not know it; Home is then the engine that did.
+// Final says that the chat is to be served here.
+type Asked struct {
+	Chat      vanillalug.ChatKey
+	Returning bool
+	Next      string
+	Home      string
+	Inherited bool
+	Final     bool
+}
+
+// Settled says that the engine serves the chat now.
+type Settled struct{ Chat vanillalug.ChatKey }
+
+// Sent says that the chat was sent to another engine, for want of room.
+type Sent struct {
+	Chat   vanillalug.ChatKey
+	Engine string
+}
+
+// CacheChanged carries cache events of the engine. First is the number of the
+// first one; a gap to the last known number loses the index.
+type CacheChanged struct {
+	First   uint64
+	Changes []CacheChange
+}
+
+// CacheSynced carries the whole list of the chats cached at the engine, true
+// after the event of the number.
+type CacheSynced struct {
+	Last  uint64
+	Chats []vanillalug.ChatKey
+}
+
+// EngineRestarted says that the engine has lost its cache.
+type EngineRestarted struct{}
+
+// EngineGone says that another engine serves no more chats.
+type EngineGone struct{ Engine string }
+
+func (Asked) keeperEvent()           {}
+func (Settled) keeperEvent()         {}
+func (Sent) keeperEvent()            {}
+func (CacheChanged) keeperEvent()    {}
+func (CacheSynced) keeperEvent()     {}
+func (EngineRestarted) keeperEvent() {}
+func (EngineGone) keeperEvent()      {}
+
+// CacheChange says that a chat's prefix was stored or evicted.
+type CacheChange struct {
+	chat   vanillalug.ChatKey
+	stored bool
+}
+
+// NewCacheChange returns the change of one chat.
+func NewCacheChange(chat vanillalug.ChatKey, stored bool) CacheChange {
+	return CacheChange{chat: chat, stored: stored}
+}
+
+// Chat returns the chat.
+func (c CacheChange) Chat() vanillalug.ChatKey { return c.chat }
+
+// Stored reports whether the prefix was stored, not evicted.
+func (c CacheChange) Stored() bool { return c.stored }
--- /dev/null
+++ b/engine.go
@@ -0,0 +1,69 @@
+package vanillalug
+
+import "vanillalug.example/form"
+
+const (
+	stateLive    = "live"
+	stateLeaving = "leaving"
+
+	defaultSlots = 16
+	maxSlots     = 4096
+)
+
+// Engine is a model engine, a back end that serves models.
+type Engine struct {
+	name    string
+	place   string
+	address string
+	models  []string
+	slots   int
+	fenced  bool
+	leaving bool
+}
+
+// Name returns the unique name of the engine.
+func (e Engine) Name() string { return e.name }
+
+// Place returns the name of the engine's place.
+func (e Engine) Place() string { return e.place }
+
+// Address returns the IP number and port of the engine.
+func (e Engine) Address() string { return e.address }
+
+// Models returns the models that the engine serves, in order of name.
+func (e Engine) Models() []string { return e.models }
+
+// Serves reports whether the engine serves the model.
+func (e Engine) Serves(model string) bool {
+	for _, m := range e.models {
+		if m == model {
+			return true
+		}
+	}
+	return false
+}
+
+// Slots is the largest number of requests that the engine runs at once.
+func (e Engine) Slots() int { return e.slots }
+
+// Fenced reports whether the engine refuses orders with an old fencing number.
+func (e Engine) Fenced() bool { return e.fenced }
+
+// Leaving reports whether the document takes the engine out of service.
+func (e Engine) Leaving() bool { return e.leaving }
+
+func readEngine(s *form.Section) Engine {
+	e := Engine{
+		name:    s.Name(),
+		place:   s.Required("place"),
+		address: s.Address("address"),
+		models:  sortedUnique(s.List("models")),
+		slots:   s.Whole("slots", defaultSlots, 1, maxSlots),
+		fenced:  s.Bool("fenced", false),
+		leaving: s.Choice("state", stateLive, stateLive, stateLeaving) == stateLeaving,
+	}
+	if len(e.models) == 0 {
+		s.Fault("models", "is required: the names of the models, separated by commas")
+	}
+	return e
+}
--- /dev/null
+++ b/fleet.go
@@ -0,0 +1,139 @@
+package vanillalug
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+)
+
+// Fleet is one validated fleet document. It never changes once read.
+type Fleet struct {
+	name       string
+	rulesLevel int
+	bound      float64
+	boundFloor int
+	retryShare float64
+
+	places     map[string]Place
+	classes    map[string]Class
+	services   map[string]Service
+	engines    map[string]Engine
+	targets    map[string]Target
+	workspaces map[string]Workspace
+	byKey      map[string]string
+}
+
+// Name returns the name of the fleet.
+func (f *Fleet) Name() string { return f.name }
+
+// RulesLevel returns the level of the rules in force.
+func (f *Fleet) RulesLevel() int { return f.rulesLevel }
+
+// Bound is the largest multiple of the mean load that an engine may carry.
+func (f *Fleet) Bound() float64 { return f.bound }
+
+// BoundFloor is the number of requests that an engine may always carry.
+func (f *Fleet) BoundFloor() int { return f.boundFloor }
+
+// RetryShare is the part of a workspace's requests that may be retries.
+func (f *Fleet) RetryShare() float64 { return f.retryShare }
+
+// Places returns the places in order of name.
+func (f *Fleet) Places() []Place { return sortedValues(f.places) }
+
+// Classes returns the classes in order of name.
+func (f *Fleet) Classes() []Class { return sortedValues(f.classes) }
+
+// Services returns the services in order of name.
+func (f *Fleet) Services() []Service { return sortedValues(f.services) }
+
+// Engines returns the engines in order of name.
+func (f *Fleet) Engines() []Engine { return sortedValues(f.engines) }
+
+// Targets returns the targets of application services in order of name.
+func (f *Fleet) Targets() []Target { return sortedValues(f.targets) }
+
+// Workspaces returns the workspaces in order of name.
+func (f *Fleet) Workspaces() []Workspace { return sortedValues(f.workspaces) }
+
+// Class returns the class of the name.
+func (f *Fleet) Class(name string) (Class, bool) {
+	c, ok := f.classes[name]
+	return c, ok
+}
+
+// Service returns the service of the name.
+func (f *Fleet) Service(name string) (Service, bool) {
+	s, ok := f.services[name]
+	return s, ok
+}
+
+// Engine returns the engine of the name.
+func (f *Fleet) Engine(name string) (Engine, bool) {
+	e, ok := f.engines[name]
+	return e, ok
+}
+
+// Workspace returns the workspace of the name.
+func (f *Fleet) Workspace(name string) (Workspace, bool) {
+	w, ok := f.workspaces[name]
+	return w, ok
+}
+
+// WorkspaceByKey returns the workspace that a caller's key belongs to.
+func (f *Fleet) WorkspaceByKey(key string) (Workspace, bool) {
+	name, ok := f.byKey[KeyDigest(key)]
+	if !ok {
+		return Workspace{}, false
+	}
+	return f.Workspace(name)
+}
+
+// Models returns every model that an engine serves, in order of name.
+func (f *Fleet) Models() []string {
+	var out []string
+	for _, e := range f.engines {
+		out = append(out, e.models...)
+	}
+	return sortedUnique(out)
+}
+
+// EnginesFor returns the engines that serve the model, in order of name.
+func (f *Fleet) EnginesFor(model string) []Engine {
+	var out []Engine
+	for _, e := range f.Engines() {
+		if e.Serves(model) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// TargetsFor returns the targets of the service, in order of name.
+func (f *Fleet) TargetsFor(service string) []Target {
+	var out []Target
+	for _, t := range f.Targets() {
+		if t.service == service {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// Digest returns the SHA-256 of the canonical form in hexadecimal.
+func (f *Fleet) Digest() string {
+	sum := sha256.Sum256(f.Canonical())
+	return hex.EncodeToString(sum[:])
+}
+
+type named interface{ Name() string }
+
+func sortedValues[T named](m map[string]T) []T {
+	out := make([]T, 0, len(m))
+	for _, v := range m {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b T) int { return cmp.Compare(a.Name(), b.Name()) })
+	return out
+}
--- /dev/null
+++ b/reception/bearer.go
@@ -0,0 +1,25 @@
+package reception
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+)
+
+// Bearer returns the bearer token of a request, or "".
+func Bearer(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return token
+}
+
+// Authentic reports whether the request carries the key. It takes the same
+// time for every wrong key.
+func Authentic(r *http.Request, key string) bool {
+	have := sha256.Sum256([]byte(Bearer(r)))
+	want := sha256.Sum256([]byte(key))
+	return key != "" && subtle.ConstantTimeCompare(have[:], want[:]) == 1
+}
--- /dev/null
+++ b/reception/client.go
@@ -0,0 +1,108 @@
+package reception
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const (
+	defaultConnectTimeout  = time.Second
+	defaultIdleConns       = 256
+	defaultPoolTime        = 30 * time.Second
+	continueTimeout        = time.Second
+	clientBufferSize       = 8 << 10
+	clientWriteBufferSize  = 4 << 10
+	clientMaxResponseBytes = 64 << 10
+)
+
+// Client sends HTTP requests. It follows no redirects and has no breaker.
+type Client struct {
+	service   httpc.Service
+	transport *http.Transport
+}
+
+type clientOptions struct {
+	connectTimeout time.Duration
+	fresh          bool
+	poolTime       time.Duration
+	count          ByteCount
+}
+
+// ByteCount is told of bytes that a connection sent or received.
+type ByteCount func(sent, received int)
+
+// ClientOption changes a new Client.
+type ClientOption func(*clientOptions)
+
+// WithFreshConnections uses a new connection for each request. The transport
+// then never sends a request twice, and a failure to connect proves that
+// nothing was sent.
+func WithFreshConnections() ClientOption {
+	return func(o *clientOptions) { o.fresh = true }
+}
+
+// WithConnectTimeout sets how long a connection may take to open.
+func WithConnectTimeout(d time.Duration) ClientOption {
+	return func(o *clientOptions) { o.connectTimeout = d }
+}
+
+// WithPoolTime sets how long an idle connection is used again.
+func WithPoolTime(d time.Duration) ClientOption {
+	return func(o *clientOptions) { o.poolTime = d }
+}
+
+// WithByteCount counts the bytes of all connections, HTTP headers included.
+func WithByteCount(count ByteCount) ClientOption {
+	return func(o *clientOptions) { o.count = count }
+}
+
+// NewClient returns a client. The name is that of the kind of server.
+func NewClient(name string, opts ...ClientOption) *Client {
+	o := clientOptions{connectTimeout: defaultConnectTimeout, poolTime: defaultPoolTime}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	t := &http.Transport{
+		DialContext:            dialer(o),
+		DisableKeepAlives:      o.fresh,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    defaultIdleConns,
+		IdleConnTimeout:        o.poolTime,
+		ExpectContinueTimeout:  continueTimeout,
+		ReadBufferSize:         clientBufferSize,
+		WriteBufferSize:        clientWriteBufferSize,
+		MaxResponseHeaderBytes: clientMaxResponseBytes,
+	}
+	client := &http.Client{Transport: t, CheckRedirect: noRedirect}
+	breaker.NoBreakerFor(name)
+	return &Client{service: httpc.NewServiceWithClient(name, client), transport: t}
+}
+
+// DoRequest sends a request and returns the response.
+func (c *Client) DoRequest(r *http.Request) (*http.Response, error) {
+	return c.service.DoRequest(r)
+}
+
+// Do is DoRequest under the name that twirp clients want.
+func (c *Client) Do(r *http.Request) (*http.Response, error) { return c.DoRequest(r) }
+
+// ForgetConnections closes the pooled connections that are idle now.
+func (c *Client) ForgetConnections() { c.transport.CloseIdleConnections() }
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func dialer(o clientOptions) func(context.Context, string, string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: o.connectTimeout, KeepAlive: 15 * time.Second}
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil || o.count == nil {
+			return c, err
+		}
+		return &countedConn{Conn: c, count: o.count}, nil
+	}
+}
--- /dev/null
+++ b/register/event.go
@@ -0,0 +1,27 @@
+package register
+
+// Event is something that happened to a Register.
+type Event interface{ registerEvent() }
+
+// HeadRead brings the head read from the platform's table.
+type HeadRead struct{ Head Head }
+
+// HeadHeard brings the head in force at a peer.
+type HeadHeard struct {
+	Peer string
+	Head Head
+}
+
+// Fetched brings the document of a head, from the table or from a peer.
+type Fetched struct {
+	Head Head
+	Text []byte
+}
+
+// FetchFailed says that the document of a head could not be had.
+type FetchFailed struct{ Head Head }
+
+func (HeadRead) registerEvent()    {}
+func (HeadHeard) registerEvent()   {}
+func (Fetched) registerEvent()     {}
+func (FetchFailed) registerEvent() {}
--- /dev/null
+++ b/register/register.go
@@ -0,0 +1,153 @@
+package register
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"vanillalug.example"
+	"vanillalug.example/schedule"
+)
+
+// fetchTimeout is how long a fetch may take before another source is asked.
+const fetchTimeout = 2 * time.Second
+
+// Register holds the version in force at one router. It is safe for
+// concurrent use.
+type Register struct {
+	mu       sync.Mutex
+	clock    schedule.Clock
+	levels   vanillalug.LevelRange
+	head     Head
+	fleet    *vanillalug.Fleet
+	text     []byte
+	since    time.Time
+	wanted   Head
+	source   string
+	asked    time.Time
+	unfit    int
+	unfitFor Head
+}
+
+// New returns a Register with no version in force, for a build that can
+// follow the given rules levels.
+func New(clock schedule.Clock, levels vanillalug.LevelRange) *Register {
+	return &Register{clock: clock, levels: levels}
+}
+
+// Handle takes an event and returns the effects to carry out.
+func (r *Register) Handle(ev Event) []Effect {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch e := ev.(type) {
+	case HeadRead:
+		return r.heard(e.Head, "")
+	case HeadHeard:
+		return r.heard(e.Head, e.Peer)
+	case Fetched:
+		return r.fetched(e)
+	case FetchFailed:
+		if e.Head == r.wanted {
+			r.asked = time.Time{}
+		}
+	}
+	return nil
+}
+
+// Head returns the head in force; its version is 0 while there is none.
+func (r *Register) Head() Head {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.head
+}
+
+// Known returns the highest head known, which the router may not have yet or
+// may not be able to follow.
+func (r *Register) Known() Head {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.wanted.version > r.head.version {
+		return r.wanted
+	}
+	return r.head
+}
+
+// Fleet returns the document in force, or nil while there is none.
+func (r *Register) Fleet() *vanillalug.Fleet {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet
+}
+
+// Text returns the document in force as it was published.
+func (r *Register) Text() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text
+}
+
+// Since returns when the version in force was taken.
+func (r *Register) Since() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.since
+}
+
+// Fit reports whether the router may take new work: it has a document and
+// can follow the rules level of the newest one.
+func (r *Register) Fit() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fleet != nil && r.unfit == 0
+}
+
+// UnfitLevel returns the rules level that the build cannot follow, or 0.
+func (r *Register) UnfitLevel() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unfit
+}
+
+func (r *Register) heard(h Head, peer string) []Effect {
+	if h.version <= r.head.version || h == r.unfitFor {
+		return nil
+	}
+	if h.version < r.wanted.version {
+		return nil
+	}
+	now := r.clock.Now()
+	waiting := !r.asked.IsZero() && now.Sub(r.asked) < fetchTimeout
+	if h == r.wanted && waiting {
+		return nil
+	}
+	r.wanted = h
+	r.source = peer
+	r.asked = now
+	return []Effect{Fetch{Head: h, Peer: peer}}
+}
+
+func (r *Register) fetched(e Fetched) []Effect {
+	if e.Head.version <= r.head.version || e.Head == r.unfitFor {
+		return nil
+	}
+	r.asked = time.Time{}
+	f, err := vanillalug.ReadFleet(fmt.Sprintf("version-%d", e.Head.version), e.Text)
+	if err != nil {
+		return []Effect{Rejected{Head: e.Head, Err: err}}
+	}
+	if f.Digest() != e.Head.digest {
+		err := &DigestError{head: e.Head, digest: f.Digest()}
+		return []Effect{Rejected{Head: e.Head, Err: err}}
+	}
+	if !r.levels.Follows(f.RulesLevel()) {
+		r.unfit = f.RulesLevel()
+		r.unfitFor = e.Head
+		return []Effect{Unfit{Head: e.Head, Level: f.RulesLevel()}}
+	}
+	r.unfit = 0
+	r.head = e.Head
+	r.fleet = f
+	r.text = e.Text
+	r.since = r.clock.Now()
+	return []Effect{InForce{Head: e.Head, Fleet: f}}
+}
--- /dev/null
+++ b/roster/news_queue.go
@@ -0,0 +1,38 @@
+package roster
+
+import (
+	"cmp"
+	"slices"
+)
+
+// newsQueue holds the members whose state is still being spread, those sent
+// least often first.
+type newsQueue struct {
+	sent map[string]int
+}
+
+func (q *newsQueue) add(name string) {
+	if q.sent == nil {
+		q.sent = map[string]int{}
+	}
+	q.sent[name] = 0
+}
+
+// take returns up to n names and drops those sent as often as the limit.
+func (q *newsQueue) take(n, limit int) []string {
+	names := make([]string, 0, len(q.sent))
+	for name := range q.sent {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(q.sent[a], q.sent[b]), cmp.Compare(a, b))
+	})
+	names = names[:min(n, len(names))]
+	for _, name := range names {
+		q.sent[name]++
+		if q.sent[name] >= limit {
+			delete(q.sent, name)
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/run_state.go
@@ -0,0 +1,11 @@
+package vanillalug
+
+// RunState says whether the work behind an answer was run.
+type RunState string
+
+// The run states.
+const (
+	NotRun  RunState = "not-run"
+	Done    RunState = "done"
+	Unknown RunState = "unknown"
+)
