--- /dev/null
+++ b/cmd/router/courier/http_engine.go
@@ -0,0 +1,206 @@
+package courier
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"vanillalug.example"
+	"vanillalug.example/reception"
+)
+
+const (
+	requestHeader  = "X-Request-Id"
+	priorityHeader = "X-Priority"
+	maxReportBytes = 32 << 20
+	errorBodyBytes = 256
+)
+
+// HTTPEngine is the adapter of Engine for engines that speak the usual chat
+// completions protocol with resumable streams.
+type HTTPEngine struct {
+	streams *reception.Client
+	reports *reception.Client
+	events  *reception.Client
+	first   time.Duration
+	idle    time.Duration
+}
+
+// NewHTTPEngine returns an adapter. A stream that brings nothing for the idle
+// bound, or for the first bound before its first event, is given up.
+func NewHTTPEngine(streams, reports, events *reception.Client, first, idle time.Duration) *HTTPEngine {
+	return &HTTPEngine{streams: streams, reports: reports, events: events, first: first, idle: idle}
+}
+
+// Start implements Engine.
+func (e *HTTPEngine) Start(ctx context.Context, address string, q ChatCall) (Stream, error) {
+	url := "http://" + address + "/v1/chat/completions"
+	r, cancel, err := newRequest(ctx, http.MethodPost, url, q.Body)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	r.Header.Set(requestHeader, q.Request)
+	r.Header.Set(priorityHeader, strconv.Itoa(q.Priority))
+	return e.open(r, cancel, e.first, q.Request, 0)
+}
+
+// Resume implements Engine.
+func (e *HTTPEngine) Resume(ctx context.Context, address, request string, offset int) (Stream, error) {
+	url := fmt.Sprintf("http://%s/v1/streams/%s?offset=%d", address, request, offset)
+	r, cancel, err := newRequest(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	return e.open(r, cancel, e.idle, request, offset)
+}
+
+// Cancel implements Engine.
+func (e *HTTPEngine) Cancel(ctx context.Context, address, request string) error {
+	r, cancel, err := newRequest(ctx, http.MethodDelete, "http://"+address+"/v1/streams/"+request, nil)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	w, err := e.streams.DoRequest(r)
+	if err != nil {
+		return fmt.Errorf("HTTPEngine.Cancel: %w", err)
+	}
+	return w.Body.Close()
+}
+
+// open sends the request. The bound holds for the header and again for the
+// first byte of the body.
+func (e *HTTPEngine) open(r *http.Request, cancel context.CancelFunc, bound time.Duration, request string, offset int) (Stream, error) {
+	timer := time.AfterFunc(bound, cancel)
+	w, err := e.streams.DoRequest(r)
+	if !timer.Stop() && err != nil {
+		e.streams.ForgetConnections()
+		return nil, &SilentError{bound: bound}
+	}
+	if err != nil {
+		cancel()
+		return nil, sendError(err)
+	}
+	if w.StatusCode != http.StatusOK {
+		defer cancel()
+		return nil, readStatusError(w)
+	}
+	return newHTTPStream(w.Body, cancel, bound, e.idle).events(request, offset), nil
+}
+
+type reportBody struct {
+	InFlight int   `json:"in-flight"`
+	Slots    int   `json:"slots"`
+	AgeMS    int64 `json:"age-ms"`
+	UptimeMS int64 `json:"uptime-ms"`
+	Leaving  bool  `json:"leaving"`
+}
+
+// Report implements Engine.
+func (e *HTTPEngine) Report(ctx context.Context, address string) (Report, error) {
+	var b reportBody
+	if err := getJSON(ctx, e.reports, "http://"+address+"/report", &b); err != nil {
+		return Report{}, fmt.Errorf("HTTPEngine.Report: %w", err)
+	}
+	return Report{
+		InFlight: b.InFlight,
+		Slots:    b.Slots,
+		Age:      time.Duration(b.AgeMS) * time.Millisecond,
+		Uptime:   time.Duration(b.UptimeMS) * time.Millisecond,
+		Leaving:  b.Leaving,
+	}, nil
+}
+
+type cacheEventsBody struct {
+	First  uint64 `json:"first"`
+	Events []struct {
+		Chat   string `json:"chat"`
+		Stored bool   `json:"stored"`
+	} `json:"events"`
+}
+
+// CacheEvents implements Engine. Chats that are not ours are left out but
+// keep their numbers.
+func (e *HTTPEngine) CacheEvents(ctx context.Context, address string, after uint64) (CacheEvents, error) {
+	var b cacheEventsBody
+	url := fmt.Sprintf("http://%s/cache/events?after=%d", address, after)
+	if err := getJSON(ctx, e.events, url, &b); err != nil {
+		return CacheEvents{}, fmt.Errorf("HTTPEngine.CacheEvents: %w", err)
+	}
+	out := CacheEvents{First: b.First}
+	for _, ev := range b.Events {
+		chat, _ := vanillalug.ParseChatKey(ev.Chat)
+		out.Events = append(out.Events, CacheEvent{Chat: chat, Stored: ev.Stored})
+	}
+	return out, nil
+}
+
+type cachedChatsBody struct {
+	Last  uint64   `json:"last"`
+	Chats []string `json:"chats"`
+}
+
+// CachedChats implements Engine.
+func (e *HTTPEngine) CachedChats(ctx context.Context, address string) (CachedChats, error) {
+	var b cachedChatsBody
+	if err := getJSON(ctx, e.events, "http://"+address+"/cache", &b); err != nil {
+		return CachedChats{}, fmt.Errorf("HTTPEngine.CachedChats: %w", err)
+	}
+	out := CachedChats{Last: b.Last, Chats: make([]vanillalug.ChatKey, 0, len(b.Chats))}
+	for _, c := range b.Chats {
+		if chat, err := vanillalug.ParseChatKey(c); err == nil {
+			out.Chats = append(out.Chats, chat)
+		}
+	}
+	return out, nil
+}
+
+func newRequest(ctx context.Context, method, url string, body []byte) (*http.Request, context.CancelFunc, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, nil, fmt.Errorf("newRequest: %w", err)
+	}
+	return r, cancel, nil
+}
+
+// sendError tells failures that prove that nothing was sent from the others.
+func sendError(err error) error {
+	if reception.NeverSent(err) {
+		return &UnsentError{cause: err}
+	}
+	return err
+}
+
+func readStatusError(w *http.Response) error {
+	defer func() { _ = w.Body.Close() }()
+	raw, _ := io.ReadAll(io.LimitReader(w.Body, errorBodyBytes))
+	return &StatusError{status: w.StatusCode, body: string(bytes.TrimSpace(raw))}
+}
+
+func getJSON(ctx context.Context, c *reception.Client, url string, out any) error {
+	r, cancel, err := newRequest(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	w, err := c.DoRequest(r)
+	if err != nil {
+		if ctx.Err() != nil {
+			c.ForgetConnections()
+		}
+		return err
+	}
+	if w.StatusCode != http.StatusOK {
+		return readStatusError(w)
+	}
+	defer func() { _ = w.Body.Close() }()
+	return json.NewDecoder(io.LimitReader(w.Body, maxReportBytes)).Decode(out)
+}
--- /dev/null
+++ b/cmd/router/handlers/count_problem.go
@@ -0,0 +1,11 @@
+package handlers
+
+import (
+	"vanillalug.example"
+	"vanillalug.example/cmd/router/meter"
+)
+
+// countProblem counts a problem that is not written as an answer of its own.
+func countProblem(ws vanillalug.Workspace, p *vanillalug.Problem) {
+	meter.Answer(ws.Name(), p.Status(), string(p.RunState()))
+}
--- /dev/null
+++ b/cmd/router/handlers/doc.go
@@ -0,0 +1,2 @@
+// Package handlers answers HTTP requests of callers, peers and operators.
+package handlers
--- /dev/null
+++ b/cmd/router/handlers/event_sink.go
@@ -0,0 +1,75 @@
+package handlers
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"vanillalug.example"
+	"vanillalug.example/cmd/router/office"
+)
+
+// eventSink writes an answer to a caller as server-sent events.
+type eventSink struct {
+	w     http.ResponseWriter
+	out   *bufio.Writer
+	begun bool
+}
+
+func newEventSink(w http.ResponseWriter) *eventSink {
+	return &eventSink{w: w, out: bufio.NewWriter(w)}
+}
+
+// Waiting implements office.Sink.
+func (s *eventSink) Waiting() {}
+
+// Admitted implements office.Sink.
+func (s *eventSink) Admitted(string, time.Duration) {}
+
+// Piece implements office.Sink.
+func (s *eventSink) Piece(p office.Piece, more bool) error {
+	if !s.begun {
+		s.begin()
+	}
+	_, _ = s.out.WriteString("data: ")
+	_, _ = s.out.Write(p.Data)
+	_, err := s.out.WriteString("\n\n")
+	if err != nil || more {
+		return err
+	}
+	return s.flush()
+}
+
+func (s *eventSink) begin() {
+	s.begun = true
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *eventSink) flush() error {
+	if err := s.out.Flush(); err != nil {
+		return err
+	}
+	s.w.(http.Flusher).Flush()
+	return nil
+}
+
+// fail writes a problem as an error event.
+func (s *eventSink) fail(p *vanillalug.Problem) {
+	raw, err := json.Marshal(errorBody{Error: p})
+	if err != nil {
+		return
+	}
+	_, _ = s.out.WriteString("event: error\ndata: ")
+	_, _ = s.out.Write(raw)
+	_, _ = s.out.WriteString("\n\n")
+	_ = s.flush()
+}
+
+// errorBody is the data of an error event.
+type errorBody struct {
+	Error *vanillalug.Problem `json:"error"`
+}
--- /dev/null
+++ b/cmd/router/handlers/operators.go
@@ -0,0 +1,88 @@
+package handlers
+
+import (
+	"net/http"
+
+	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/cmd/router/office"
+	"vanillalug.example/reception"
+)
+
+// Operators answers operators.
+type Operators struct {
+	office *office.Office
+	key    string
+	leave  func()
+}
+
+// NewOperators returns the handlers of the operator listener. Leave is called
+// when an operator tells the router to stop.
+func NewOperators(o *office.Office, key string, leave func()) *Operators {
+	return &Operators{office: o, key: key, leave: leave}
+}
+
+// Register adds the handlers to a server. Health, readiness and metrics need
+// no key.
+func (o *Operators) Register(s *reception.Server) {
+	s.Handle(http.MethodGet, "/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusNoContent)
+	})
+	s.Handle(http.MethodGet, "/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		writeReady(w, o.office)
+	})
+	s.Handle(http.MethodGet, "/metrics", func(w http.ResponseWriter, _ *http.Request) { meter.Write(w) })
+	s.Handle(http.MethodGet, "/status", o.guard(o.status))
+	s.Handle(http.MethodPost, "/drain", o.guard(o.drain))
+}
+
+func (o *Operators) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !reception.Authentic(r, o.key) {
+			http.Error(w, "wrong operator key", http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (o *Operators) status(w http.ResponseWriter, r *http.Request) {
+	b := reception.FleetStatusBody{From: o.office.Name()}
+	for _, m := range o.office.FleetStatus(r.Context()) {
+		b.Routers = append(b.Routers, routerStatus(m))
+	}
+	reception.WriteJSON(w, http.StatusOK, b)
+}
+
+func routerStatus(m office.MemberStatus) reception.RouterStatusBody {
+	b := reception.RouterStatusBody{
+		Name:        m.Member.Name(),
+		Place:       m.Member.Place(),
+		Address:     m.Member.Address(),
+		Member:      m.Member.State().String(),
+		Incarnation: m.Member.Incarnation(),
+	}
+	if m.Err != nil {
+		b.Error = m.Err.Error()
+		return b
+	}
+	s := m.Status
+	b.Answered = true
+	b.Build = s.GetBuild()
+	b.Version = s.GetHead().GetVersion()
+	b.Digest = s.GetHead().GetDigest()
+	b.Known = s.GetKnown().GetVersion()
+	b.RulesLevel = int(s.GetRulesLevel())
+	b.LowestLevel = int(s.GetLowestLevel())
+	b.HighestLevel = int(s.GetHighestLevel())
+	b.UnfitLevel = int(s.GetUnfitLevel())
+	b.InForceMS = int64(s.GetInForceMs())
+	b.Ready = s.GetReady()
+	b.State = s.GetState()
+	b.OpenRequests = int(s.GetOpenRequests())
+	return b
+}
+
+func (o *Operators) drain(w http.ResponseWriter, _ *http.Request) {
+	o.leave()
+	w.WriteHeader(http.StatusAccepted)
+}
--- /dev/null
+++ b/cmd/router/handlers/peers.go
@@ -0,0 +1,97 @@
+package handlers
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"vanillalug.example/cmd/router/courier"
+	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/cmd/router/office"
+	"vanillalug.example/peer"
+	"vanillalug.example/reception"
+	"vanillalug.example/schedule"
+)
+
+// Peers answers other routers.
+type Peers struct {
+	office  *office.Office
+	clock   schedule.Clock
+	key     string
+	maxBody int64
+}
+
+// NewPeers returns the handlers of the peer listener, for routers that present
+// the key.
+func NewPeers(o *office.Office, clock schedule.Clock, key string, maxBody int) *Peers {
+	return &Peers{office: o, clock: clock, key: key, maxBody: int64(maxBody) + 4<<10}
+}
+
+// Register adds the handlers to a server.
+func (p *Peers) Register(s *reception.Server) {
+	twirp := peer.NewPeerServer(p)
+	count := meter.ControlBytes(meter.ProbeServed)
+	s.Handle(http.MethodPost, twirp.PathPrefix(), p.guard(counted(count, twirp.ServeHTTP)))
+	s.Handle(http.MethodPost, courier.RelayPath, p.guard(p.relay))
+}
+
+func (p *Peers) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !reception.Authentic(r, p.key) {
+			http.Error(w, "wrong peer key", http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
+// relay admits a chat request for a peer.
+func (p *Peers) relay(w http.ResponseWriter, r *http.Request) {
+	var q courier.Relay
+	if err := json.Unmarshal([]byte(r.Header.Get(courier.RelayHeader)), &q); err != nil {
+		http.Error(w, courier.RelayHeader+": "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.maxBody))
+	if err != nil {
+		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	q.Body = body
+	p.office.CountRelay(1)
+	defer p.office.CountRelay(-1)
+	sink := newRelaySink(w, q.Request)
+	defer p.clock.Every(heartbeatInterval, sink.heartbeat)()
+	v := p.office.Admit(r.Context(), q, sink)
+	if b, ok := office.NewVerdictBody(v); ok {
+		sink.verdict(b)
+	}
+}
+
+// Probe implements peer.Peer.
+func (p *Peers) Probe(_ context.Context, q *peer.ProbeRequest) (*peer.ProbeReply, error) {
+	return &peer.ProbeReply{Gossip: p.office.Answer(q.GetGossip())}, nil
+}
+
+// ProbeOther implements peer.Peer.
+func (p *Peers) ProbeOther(ctx context.Context, q *peer.ProbeOtherRequest) (*peer.ProbeOtherReply, error) {
+	return p.office.ProbeOther(ctx, q.GetMember()), nil
+}
+
+// GetDocument implements peer.Peer.
+func (p *Peers) GetDocument(context.Context, *peer.GetDocumentRequest) (*peer.GetDocumentReply, error) {
+	h, text := p.office.Document()
+	head := &peer.Head{Version: h.Version(), Digest: h.Digest(), Publication: h.Publication()}
+	return &peer.GetDocumentReply{Head: head, Text: text}, nil
+}
+
+// GetStatus implements peer.Peer.
+func (p *Peers) GetStatus(context.Context, *peer.GetStatusRequest) (*peer.GetStatusReply, error) {
+	return p.office.Status(), nil
+}
+
+// HandOver implements peer.Peer.
+func (p *Peers) HandOver(_ context.Context, q *peer.HandOverRequest) (*peer.HandOverReply, error) {
+	return &peer.HandOverReply{Taken: uint32(p.office.TakeOver(q))}, nil
+}
--- /dev/null
+++ b/cmd/router/handlers/relay_sink.go
@@ -0,0 +1,96 @@
+package handlers
+
+import (
+	"bufio"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"vanillalug.example/cmd/router/office"
+)
+
+// heartbeatInterval is the time between two comments on a relayed stream on
+// which nothing else is sent.
+const heartbeatInterval = 2 * time.Second
+
+// relaySink writes an answer to a peer, with the request and the offset of
+// each piece. While there is nothing to send it sends comments, so that the
+// peer can tell a silent connection from a slow engine.
+type relaySink struct {
+	request string
+
+	mu   sync.Mutex
+	w    http.ResponseWriter
+	out  *bufio.Writer
+	busy bool
+}
+
+var _ office.Sink = (*relaySink)(nil)
+
+func newRelaySink(w http.ResponseWriter, request string) *relaySink {
+	s := &relaySink{request: request, w: w, out: bufio.NewWriter(w)}
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	return s
+}
+
+// Waiting implements office.Sink.
+func (s *relaySink) Waiting() { s.verdict(office.NewWaitingBody()) }
+
+// Admitted implements office.Sink.
+func (s *relaySink) Admitted(engine string, waited time.Duration) {
+	s.verdict(office.NewAdmittedBody(engine, waited))
+}
+
+// Piece implements office.Sink.
+func (s *relaySink) Piece(p office.Piece, more bool) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = true
+	_, _ = s.out.WriteString("id: ")
+	_, _ = s.out.WriteString(s.request)
+	_ = s.out.WriteByte('/')
+	_, _ = s.out.WriteString(strconv.Itoa(p.Offset))
+	_, _ = s.out.WriteString("\ndata: ")
+	_, _ = s.out.Write(p.Data)
+	_, err := s.out.WriteString("\n\n")
+	if err != nil || more {
+		return err
+	}
+	return s.flush()
+}
+
+func (s *relaySink) verdict(b office.VerdictBody) {
+	raw, err := json.Marshal(b)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy = true
+	_, _ = s.out.WriteString("event: " + office.VerdictEvent + "\ndata: ")
+	_, _ = s.out.Write(raw)
+	_, _ = s.out.WriteString("\n\n")
+	_ = s.flush()
+}
+
+// heartbeat sends a comment unless something was sent since the last call.
+func (s *relaySink) heartbeat(time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.busy {
+		_, _ = s.out.WriteString(":\n\n")
+		_ = s.flush()
+	}
+	s.busy = false
+}
+
+func (s *relaySink) flush() error {
+	if err := s.out.Flush(); err != nil {
+		return err
+	}
+	s.w.(http.Flusher).Flush()
+	return nil
+}
--- /dev/null
+++ b/cmd/router/meter/meter.go
@@ -0,0 +1,85 @@
+// Package meter holds the metrics of a router.
+package meter
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Kind is a kind of control traffic.
+type Kind string
+
+// The kinds of control traffic.
+const (
+	Probe        Kind = "probe"
+	ProbeServed  Kind = "probe-served"
+	Document     Kind = "document"
+	HandOver     Kind = "hand-over"
+	EngineReport Kind = "engine-report"
+	CacheEvents  Kind = "cache-events"
+	Platform     Kind = "platform"
+)
+
+// segmentOverhead is the size of the IP and TCP headers of one segment, bytes.
+const segmentOverhead = 40
+
+// ControlBytes counts bytes sent and received for a kind of control traffic.
+// Each read or write counts as one segment.
+func ControlBytes(kind Kind) func(sent, received int) {
+	c := metrics.GetOrCreateCounter(fmt.Sprintf(`vanillalug_control_bytes_total{kind=%q}`, kind))
+	return func(sent, received int) {
+		c.Add(sent + received + segmentOverhead)
+	}
+}
+
+// FirstToken records the time to the first token of a chat.
+func FirstToken(workspace, class string, d time.Duration) {
+	observe("vanillalug_first_token_seconds", workspace, class, d)
+}
+
+// BetweenTokens records the time between two tokens of a chat.
+func BetweenTokens(workspace, class string, d time.Duration) {
+	observe("vanillalug_between_tokens_seconds", workspace, class, d)
+}
+
+// WholeAnswer records the time to the end of an answer.
+func WholeAnswer(workspace, class string, d time.Duration) {
+	observe("vanillalug_whole_answer_seconds", workspace, class, d)
+}
+
+// QueueWait records how long a request waited for an engine.
+func QueueWait(workspace, class string, d time.Duration) {
+	observe("vanillalug_queue_wait_seconds", workspace, class, d)
+}
+
+// Answer counts an answer by the status and the run state.
+func Answer(workspace string, status int, runState string) {
+	name := fmt.Sprintf(`vanillalug_answers_total{workspace=%q,status="%d",run_state=%q}`, workspace, status, runState)
+	metrics.GetOrCreateCounter(name).Inc()
+}
+
+// Count counts an event by its name and one label.
+func Count(name, label, value string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`vanillalug_%s_total{%s=%q}`, name, label, value)).Inc()
+}
+
+// Add adds to a counter without labels.
+func Add(name string, n int) {
+	metrics.GetOrCreateCounter("vanillalug_" + name + "_total").Add(n)
+}
+
+// Gauge registers a value that is read when metrics are written.
+func Gauge(name string, read func() float64) {
+	metrics.GetOrCreateGauge("vanillalug_"+name, read)
+}
+
+// Write writes all metrics in the Prometheus text format.
+func Write(w io.Writer) { metrics.WritePrometheus(w, true) }
+
+func observe(name, workspace, class string, d time.Duration) {
+	full := name + `{workspace="` + workspace + `",class="` + class + `"}`
+	metrics.GetOrCreateHistogram(full).Update(d.Seconds())
+}
--- /dev/null
+++ b/cmd/router/office/admit.go
@@ -0,0 +1,221 @@
+package office
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"vanillalug.example"
+	"vanillalug.example/cmd/router/courier"
+	"vanillalug.example/desk"
+	"vanillalug.example/dispatch"
+)
+
+// firstReport is how long a new post waits for the first report of its engine.
+const firstReport = 500 * time.Millisecond
+
+// Admit decides a chat request as the admitting router of its engine and, once
+// it is admitted, streams the answer into the sink.
+func (o *Office) Admit(ctx context.Context, q courier.Relay, sink Sink) Verdict {
+	f, out := o.admissible(ctx, q)
+	if out != nil {
+		return out
+	}
+	e, ok := f.Engine(q.Engine)
+	if !ok {
+		return EngineOut{Reason: "not in the fleet document"}
+	}
+	p := o.post(ctx, e)
+	if q.Resume {
+		return o.adopt(ctx, p, e, q, sink)
+	}
+	if c := p.health.Condition(); c != dispatch.Up {
+		return EngineOut{Reason: c.String()}
+	}
+	chat, err := vanillalug.ParseChatKey(q.Chat)
+	if err != nil {
+		return Refused{Problem: vanillalug.NewProblem(http.StatusBadRequest, "bad-chat-key", err.Error())}
+	}
+	if at, ok := o.cachedElsewhere(f, p, q, chat); ok {
+		return at
+	}
+	return o.queue(ctx, f, p, e, q, chat, sink)
+}
+
+// admissible checks that this router may admit and is not behind the sender.
+func (o *Office) admissible(ctx context.Context, q courier.Relay) (*vanillalug.Fleet, Verdict) {
+	local := q.From == o.name
+	if !local && o.leaving.Load() && !q.Resume {
+		return nil, AdmitterOut{Reason: "leaving", Unsent: true}
+	}
+	if !o.roster.Certain() && !local {
+		return nil, AdmitterOut{Reason: "paused", Unsent: true}
+	}
+	if q.Version > o.register.Head().Version() {
+		o.catchUp(ctx, q.From)
+	}
+	if q.Version > o.register.Head().Version() {
+		return nil, AdmitterOut{Reason: "behind", Unsent: true}
+	}
+	if !o.register.Fit() && !q.Resume {
+		return nil, AdmitterOut{Reason: "rules level", Unsent: true}
+	}
+	return o.register.Fleet(), nil
+}
+
+// post returns the post of the engine. A new one first asks the engine for its
+// load, which other routers may have put there.
+func (o *Office) post(ctx context.Context, e vanillalug.Engine) *post {
+	p, added := o.posts.getOrAdd(e.Name(), func() *post { return newPost(o, e.Name(), e.Slots()) })
+	p.touch(o.clock.Now())
+	if added {
+		go o.watchEngine(p, e)
+	}
+	select {
+	case <-p.ready:
+	case <-ctx.Done():
+	case <-time.After(firstReport):
+	}
+	return p
+}
+
+// cachedElsewhere asks the keeper where the chat is cached.
+func (o *Office) cachedElsewhere(f *vanillalug.Fleet, p *post, q courier.Relay, chat vanillalug.ChatKey) (Verdict, bool) {
+	ask := dispatch.Asked{
+		Chat: chat, Returning: q.Returning, Next: q.Next, Home: q.Home,
+		Inherited: q.Inherited, Final: q.Final || q.Last,
+	}
+	for _, e := range p.keeper.Handle(ask) {
+		at, ok := e.(dispatch.At)
+		if !ok {
+			continue
+		}
+		target, known := f.Engine(at.Engine)
+		if known && target.Serves(q.Model) && o.condition(at.Engine) == dispatch.Up {
+			return Cached{Engine: at.Engine, Inherit: at.Inherit}, true
+		}
+		p.keeper.Handle(dispatch.Settled{Chat: chat})
+	}
+	return nil, false
+}
+
+// condition returns the condition of a target as far as it is known here.
+func (o *Office) condition(target string) dispatch.Condition {
+	if p, ok := o.posts.get(target); ok && o.owns(target) {
+		return p.health.Condition()
+	}
+	if o.targets.isListedLeaving(target) {
+		return dispatch.Leaving
+	}
+	return o.loads.Condition(target, o.clock.Now())
+}
+
+// queue brings the request to the desk and waits for its answer.
+func (o *Office) queue(ctx context.Context, f *vanillalug.Fleet, p *post, e vanillalug.Engine, q courier.Relay, chat vanillalug.ChatKey, sink Sink) Verdict {
+	answers := p.await(q.Request)
+	defer p.forget(q.Request)
+	p.handle(desk.Arrive{
+		Request:      o.deskRequest(f, q),
+		Pool:         o.pool(f, e),
+		Alternatives: o.alternatives(f, q),
+		Last:         q.Last,
+	})
+	for {
+		select {
+		case a := <-answers:
+			switch a := a.(type) {
+			case desk.Wait:
+				sink.Waiting()
+			case desk.Elsewhere:
+				p.keeper.Handle(dispatch.Sent{Chat: chat, Engine: a.Engine})
+				return Spilled{Engine: a.Engine}
+			case desk.Refuse:
+				return refusal(a)
+			case desk.Admit:
+				defer p.handle(desk.Finished{ID: q.Request})
+				p.keeper.Handle(dispatch.Settled{Chat: chat})
+				sink.Admitted(e.Name(), a.Waited)
+				return o.run(ctx, p, e, f, q, sink)
+			}
+		case <-ctx.Done():
+			return o.withdraw(p, q, answers)
+		}
+	}
+}
+
+// withdraw takes a waiting request out. It may have been admitted meanwhile.
+func (o *Office) withdraw(p *post, q courier.Relay, answers chan desk.Effect) Verdict {
+	p.handle(desk.Withdrawn{ID: q.Request})
+	for {
+		select {
+		case a := <-answers:
+			if _, ok := a.(desk.Admit); ok {
+				p.handle(desk.Finished{ID: q.Request})
+			}
+		default:
+			return Gone{}
+		}
+	}
+}
+
+func refusal(a desk.Refuse) Verdict {
+	if a.Reason == desk.EngineClosed {
+		return EngineOut{Reason: string(a.Reason)}
+	}
+	detail := "the fleet is busy; the request was not run"
+	return Refused{Problem: vanillalug.NewProblem(http.StatusServiceUnavailable, string(a.Reason), detail,
+		vanillalug.WithRetryAfter(a.RetryAfter))}
+}
+
+func (o *Office) deskRequest(f *vanillalug.Fleet, q courier.Relay) desk.Request {
+	var opts []desk.RequestOption
+	if ws, ok := f.Workspace(q.Workspace); ok {
+		opts = append(opts, desk.WithShare(ws.Share()))
+	}
+	if c, ok := f.Class(q.Class); ok {
+		opts = append(opts, desk.WithClass(c.Name(), c.Weight(), c.QueueLimit(), c.QueueDeadline()))
+	}
+	return desk.NewRequest(q.Request, q.Workspace, opts...)
+}
+
+// pool returns the load of the engines that share a model with the engine.
+func (o *Office) pool(f *vanillalug.Fleet, e vanillalug.Engine) desk.Pool {
+	now := o.clock.Now()
+	engines, load := 0, 0
+	for _, other := range f.EnginesSharing(e) {
+		if o.condition(other.Name()) != dispatch.Up {
+			continue
+		}
+		engines++
+		load += o.loadOf(other.Name(), now)
+	}
+	return desk.NewPool(engines, load, f.Bound(), f.BoundFloor())
+}
+
+// loadOf returns the load of an engine: exact where this router admits for
+// it, else the last that was heard.
+func (o *Office) loadOf(engine string, now time.Time) int {
+	if p, ok := o.posts.get(engine); ok && o.owns(engine) {
+		return p.desk.Load()
+	}
+	l, _ := o.loads.Get(engine, now)
+	return l.InFlight()
+}
+
+// owns reports whether this router admits for the engine, as it sees the fleet.
+func (o *Office) owns(engine string) bool {
+	return dispatch.Owner(engine, o.roster.Admitting()) == o.name
+}
+
+func (o *Office) alternatives(f *vanillalug.Fleet, q courier.Relay) []desk.Alternative {
+	now := o.clock.Now()
+	var out []desk.Alternative
+	for _, name := range q.Others {
+		e, ok := f.Engine(name)
+		if !ok || o.condition(name) != dispatch.Up {
+			continue
+		}
+		out = append(out, desk.NewAlternative(name, o.loadOf(name, now), e.Slots()))
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/router/office/group_writer.go
@@ -0,0 +1,98 @@
+package office
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/platform"
+)
+
+const (
+	// maxGroup is the number of writes in one group.
+	maxGroup = 64
+	// groupTimeout is how long a group may take.
+	groupTimeout = 2 * time.Second
+)
+
+// groupWriter sends writes to the table in groups: those that come while a
+// group is under way make up the next one.
+type groupWriter struct {
+	table   platform.Table
+	mu      sync.Mutex
+	waiting []*groupedWrite
+	busy    bool
+}
+
+type groupedWrite struct {
+	write  platform.Write
+	result platform.Result
+	err    error
+	done   chan struct{}
+}
+
+func newGroupWriter(table platform.Table) *groupWriter { return &groupWriter{table: table} }
+
+// write returns the result of the write. When the context ends first, whether
+// it took effect is not known.
+func (g *groupWriter) write(ctx context.Context, w platform.Write) (platform.Result, error) {
+	x := &groupedWrite{write: w, done: make(chan struct{})}
+	g.mu.Lock()
+	g.waiting = append(g.waiting, x)
+	start := !g.busy
+	g.busy = true
+	g.mu.Unlock()
+	if start {
+		go g.run()
+	}
+	select {
+	case <-x.done:
+		return x.result, x.err
+	case <-ctx.Done():
+		return platform.Result{}, platform.NewUnavailableError("write", true, ctx.Err())
+	}
+}
+
+func (g *groupWriter) run() {
+	for {
+		group := g.take()
+		if group == nil {
+			return
+		}
+		g.send(group)
+	}
+}
+
+func (g *groupWriter) take() []*groupedWrite {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.waiting) == 0 {
+		g.busy = false
+		return nil
+	}
+	n := min(maxGroup, len(g.waiting))
+	group := g.waiting[:n:n]
+	g.waiting = g.waiting[n:]
+	return group
+}
+
+func (g *groupWriter) send(group []*groupedWrite) {
+	ctx, done := background(groupTimeout)
+	defer done()
+	writes := make([]platform.Write, 0, len(group))
+	for _, x := range group {
+		writes = append(writes, x.write)
+	}
+	results, err := g.table.Write(ctx, writes)
+	meter.Add("table_groups", 1)
+	meter.Add("table_writes", len(group))
+	for i, x := range group {
+		if err != nil {
+			x.err = err
+		} else {
+			x.result = results[i]
+		}
+		close(x.done)
+	}
+}
--- /dev/null
+++ b/cmd/router/office/once.go
@@ -0,0 +1,172 @@
+package office
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"net/http"
+	"time"
+
+	"vanillalug.example"
+	"vanillalug.example/cmd/router/courier"
+	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/ledger"
+)
+
+const (
+	// settleTime is when callers may ask again for an unknown outcome.
+	settleTime     = 5 * time.Second
+	outcomeTimeout = 2 * time.Second
+)
+
+// PausedError says that too much time passed between the claim and the
+// dispatch of a call.
+type PausedError struct{}
+
+// Error implements error.
+func (*PausedError) Error() string { return "the claim is too old to dispatch" }
+
+// callOnce sends a non-idempotent call at most once. A call without a key gets
+// one of its own.
+func (o *Office) callOnce(ctx context.Context, c Call) (Answer, *vanillalug.Problem) {
+	if c.Key == "" {
+		c.Key = "own-" + rand.Text()
+	}
+	t, ok := o.pickWorker(c.Service.Name(), nil)
+	if !ok {
+		return Answer{}, o.noWorker(c)
+	}
+	claim := ledger.NewClaim(c.Workspace.Name(), c.Service.Name(), c.Key,
+		ledger.WithAttempt(o.nextRequest()),
+		ledger.WithDigest(ledger.RequestDigest(c.Method, c.Path, c.Query, c.Body)),
+		ledger.WithVersion(o.register.Head().Version()),
+		ledger.WithRouter(o.name, t.Name()),
+		ledger.WithTime(o.clock.Now().UTC()),
+	)
+	var opts []ledger.CallOption
+	if c.Service.Outcomes() != "" {
+		opts = append(opts, ledger.WithAskableTarget())
+	}
+	r := &onceRun{office: o, call: c, target: t, decision: ledger.NewCall(o.clock, claim, opts...)}
+	return r.run(ctx)
+}
+
+// onceRun carries out the effects of one non-idempotent call.
+type onceRun struct {
+	office   *Office
+	call     Call
+	target   vanillalug.Target
+	decision *ledger.Call
+}
+
+func (r *onceRun) run(ctx context.Context) (Answer, *vanillalug.Problem) {
+	effects := r.decision.Handle(ledger.Begin{})
+	for {
+		var verdict ledger.Verdict
+		var next ledger.Event
+		for _, e := range effects {
+			switch e := e.(type) {
+			case ledger.Reply:
+				verdict = e.Verdict
+			case ledger.StoreOutcome:
+				r.office.journal.record(e.Claim, e.Revision)
+			case ledger.Withdraw:
+				r.office.journal.withdraw(e.Claim)
+			default:
+				next = r.carry(ctx, e)
+			}
+		}
+		if verdict != nil {
+			return r.answer(verdict)
+		}
+		effects = r.decision.Handle(next)
+	}
+}
+
+// carry carries out an effect that has an answer.
+func (r *onceRun) carry(ctx context.Context, e ledger.Effect) ledger.Event {
+	switch e := e.(type) {
+	case ledger.StoreClaim:
+		return r.office.journal.claim(ctx, e)
+	case ledger.ReadClaim:
+		return r.office.journal.read(ctx, e.Key)
+	case ledger.Dispatch:
+		return r.dispatch(ctx)
+	case ledger.AskTarget:
+		return r.ask(e.Claim)
+	}
+	return nil
+}
+
+// dispatch sends the call. The work goes on when the caller leaves, so that
+// its outcome is recorded.
+func (r *onceRun) dispatch(ctx context.Context) ledger.Event {
+	ctx, done := context.WithTimeout(context.WithoutCancel(ctx), r.call.Service.Deadline())
+	defer done()
+	a, err := r.office.send(ctx, r.target, r.call, true, r.mayDispatch)
+	var unsent *courier.UnsentError
+	switch {
+	case errors.As(err, &unsent):
+		meter.Count("dispatches", "result", "unsent")
+		return ledger.SendFailed{}
+	case err != nil:
+		meter.Count("dispatches", "result", "cut")
+		return ledger.Cut{}
+	}
+	meter.Count("dispatches", "result", "answered")
+	return ledger.Answered{Outcome: ledger.NewOutcome(a.Status, a.Header, a.Body)}
+}
+
+func (r *onceRun) mayDispatch() error {
+	if !r.decision.MayDispatch() {
+		return &PausedError{}
+	}
+	return nil
+}
+
+// ask asks the target that the claim names for the outcome.
+func (r *onceRun) ask(c ledger.Claim) ledger.Event {
+	address := ""
+	for _, t := range r.office.Fleet().TargetsFor(c.Service()) {
+		if t.Name() == c.Target() {
+			address = t.Address()
+		}
+	}
+	if address == "" {
+		return ledger.TargetCannotTell{}
+	}
+	ctx, done := background(outcomeTimeout)
+	defer done()
+	a, err := r.office.calls.Outcome(ctx, address, r.call.Service.Outcomes(), c.Workspace(), c.Key())
+	if err != nil {
+		return ledger.TargetCannotTell{}
+	}
+	return ledger.TargetTold{Outcome: ledger.NewOutcome(a.Status, a.Header, a.Body)}
+}
+
+func (r *onceRun) answer(v ledger.Verdict) (Answer, *vanillalug.Problem) {
+	switch v := v.(type) {
+	case ledger.Ran:
+		return ranAnswer(v)
+	case ledger.NotRun:
+		return Answer{}, vanillalug.NewProblem(http.StatusServiceUnavailable, string(v.Cause),
+			"the call was not run", vanillalug.WithRetryAfter(r.office.spread(shortRetry)))
+	case ledger.MayHaveRun:
+		return Answer{}, vanillalug.NewProblem(http.StatusConflict, "outcome-unknown",
+			"the call with this key may have been run; its outcome is not recorded",
+			vanillalug.WithRunState(vanillalug.Unknown),
+			vanillalug.WithRetryAfter(r.office.spread(settleTime)))
+	default:
+		return Answer{}, vanillalug.NewProblem(http.StatusUnprocessableEntity, "key-reused",
+			"the key was used for another request", vanillalug.WithField(courier.IdempotencyHeader))
+	}
+}
+
+func ranAnswer(v ledger.Ran) (Answer, *vanillalug.Problem) {
+	out := v.Outcome
+	if out.Status() == 0 || out.BodyLeftOut() && v.Replayed {
+		return Answer{}, vanillalug.NewProblem(http.StatusConflict, "outcome-not-kept",
+			"the call was run; its answer is not kept", vanillalug.WithRunState(vanillalug.Done))
+	}
+	return Answer{Status: out.Status(), Header: out.Header(), Body: out.Body(), Replayed: v.Replayed}, nil
+}
--- /dev/null
+++ b/cmd/router/serve.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/ansel1/merry/v2"
+	"github.com/hashicorp/go-hclog"
+
+	"vanillalug.example"
+	"vanillalug.example/cmd/router/courier"
+	"vanillalug.example/cmd/router/cron"
+	"vanillalug.example/cmd/router/handlers"
+	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/cmd/router/office"
+	"vanillalug.example/cmd/router/settings"
+	"vanillalug.example/platform"
+	"vanillalug.example/reception"
+	"vanillalug.example/schedule"
+)
+
+const shutdownTimeout = 2 * time.Second
+
+// listeners are the three servers of a router.
+type listeners struct {
+	callers   *reception.Server
+	peers     *reception.Server
+	operators *reception.Server
+}
+
+func serve(cfg *settings.Settings, follows vanillalug.LevelRange) int {
+	log := reception.NewLogger("router", cfg.LogLevel(), cfg.LogJSON(), os.Stderr).With("router", cfg.Name())
+	l, err := listen(cfg)
+	if err != nil {
+		log.Error("cannot listen", "error", err)
+		return exitFailure
+	}
+	clock := schedule.NewSystem()
+	o := newOffice(cfg, follows, clock, log)
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	handlers.NewCallers(o, cfg.MaxBody()).Register(l.callers)
+	handlers.NewPeers(o, clock, cfg.PeerKey(), cfg.MaxBody()).Register(l.peers)
+	handlers.NewOperators(o, cfg.OperatorKey(), func() { stop <- syscall.SIGTERM }).Register(l.operators)
+	failed := l.serve()
+	o.ReadVMs(clock.Now())
+	o.ReadHead(clock.Now())
+	cancel := cron.Start(clock, o, cfg)
+	defer cancel()
+	log.Info("serving", "callers", cfg.Callers(), "peers", cfg.Peers(), "build", build, "levels", follows.String())
+	select {
+	case err := <-failed:
+		log.Error("a listener failed", "error", err)
+		return exitFailure
+	case s := <-stop:
+		log.Info("told to stop", "signal", s.String())
+	}
+	return leave(cfg, o, l, log)
+}
+
+// leave finishes every request in progress before the listeners close.
+func leave(cfg *settings.Settings, o *office.Office, l *listeners, log hclog.Logger) int {
+	ctx, done := context.WithTimeout(context.Background(), cfg.DrainLimit())
+	defer done()
+	finished := o.Leave(ctx, cfg.BalancerTime())
+	ctx, done = context.WithTimeout(context.Background(), shutdownTimeout)
+	defer done()
+	for _, s := range []*reception.Server{l.callers, l.peers, l.operators} {
+		_ = s.Shutdown(ctx)
+	}
+	if !finished {
+		log.Warn("stopped at the drain limit", "open-requests", o.Open())
+		return exitCut
+	}
+	log.Info("stopped")
+	return 0
+}
+
+func listen(cfg *settings.Settings) (*listeners, error) {
+	opts := []reception.ServerOption{
+		reception.WithMaxConns(cfg.MaxConns()),
+		reception.WithMaxHeaderBytes(cfg.MaxHeader()),
+	}
+	l := &listeners{}
+	for _, s := range []struct {
+		name    string
+		address string
+		into    **reception.Server
+	}{
+		{"callers", cfg.Callers(), &l.callers},
+		{"peers", cfg.Peers(), &l.peers},
+		{"operators", cfg.Operators(), &l.operators},
+	} {
+		server, err := reception.NewServer(s.name, s.address, opts...)
+		if err != nil {
+			return nil, merry.Prependf(err, "listen: %s", s.name)
+		}
+		*s.into = server
+	}
+	return l, nil
+}
+
+func (l *listeners) serve() chan error {
+	failed := make(chan error, 3)
+	for _, s := range []*reception.Server{l.operators, l.peers, l.callers} {
+		go func() {
+			err := s.Serve()
+			if err == nil {
+				err = errors.New("listener closed")
+			}
+			failed <- err
+		}()
+	}
+	return failed
+}
+
+func newOffice(cfg *settings.Settings, follows vanillalug.LevelRange, clock schedule.Clock, log hclog.Logger) *office.Office {
+	counted := func(name string, kind meter.Kind) *reception.Client {
+		return reception.NewClient(name, reception.WithByteCount(meter.ControlBytes(kind)))
+	}
+	store := platform.NewClient(counted("platform", meter.Platform), cfg.Platform(), cfg.PlatformKey())
+	peers := courier.NewPeers(cfg.PeerKey(),
+		counted("probes", meter.Probe), counted("documents", meter.Document),
+		counted("hand-over", meter.HandOver), reception.NewClient("relays"), cfg.PeerIdle())
+	reports := counted("reports", meter.EngineReport)
+	engines := courier.NewHTTPEngine(reception.NewClient("engines"), reports,
+		counted("cache-events", meter.CacheEvents), cfg.FirstToken(), cfg.EngineIdle())
+	calls := courier.NewHTTPService(reception.NewClient("services"),
+		reception.NewClient("services-once", reception.WithFreshConnections()), reports)
+	id := office.Identity{
+		Name: cfg.Name(), Place: cfg.Place(), Address: cfg.Peers(), Build: build, Levels: follows,
+	}
+	out := office.Outside{
+		Clock: clock, Log: log, Engines: engines, Calls: calls, Peers: peers,
+		Table: store, Objects: store, VMs: store,
+	}
+	return office.New(id, out,
+		office.WithMaxOpen(cfg.MaxOpen()), office.WithRememberedChats(cfg.RememberedChats()))
+}
--- /dev/null
+++ b/cmd/standin/engine/prefix_cache.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"container/list"
+	"sync"
+)
+
+// maxEvents is the number of cache events that are kept for late readers.
+const maxEvents = 4096
+
+// prefixCache holds the cached prompt tokens of chats, the least recently
+// used of which are evicted. It numbers its events.
+type prefixCache struct {
+	mu     sync.Mutex
+	limit  int
+	used   int
+	order  *list.List
+	chats  map[string]*list.Element
+	last   uint64
+	events []cacheEvent
+}
+
+type cachedChat struct {
+	chat   string
+	tokens int
+}
+
+// cacheEvent says that a chat was stored or evicted.
+type cacheEvent struct {
+	Chat   string `json:"chat"`
+	Stored bool   `json:"stored"`
+}
+
+// eventsBody is the answer to a request for events.
+type eventsBody struct {
+	First  uint64       `json:"first"`
+	Events []cacheEvent `json:"events"`
+}
+
+// chatsBody is the answer to a request for all cached chats.
+type chatsBody struct {
+	Last  uint64   `json:"last"`
+	Chats []string `json:"chats"`
+}
+
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{limit: limit, order: list.New(), chats: map[string]*list.Element{}}
+}
+
+// use returns the cached tokens of a chat and caches its whole prompt.
+func (c *prefixCache) use(chat string, tokens int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cached := 0
+	if el, ok := c.chats[chat]; ok {
+		cached = min(el.Value.(*cachedChat).tokens, tokens)
+		c.used -= el.Value.(*cachedChat).tokens
+		c.order.Remove(el)
+	} else {
+		c.publish(chat, true)
+	}
+	c.chats[chat] = c.order.PushFront(&cachedChat{chat: chat, tokens: tokens})
+	c.used += tokens
+	c.evict()
+	return cached
+}
+
+func (c *prefixCache) evict() {
+	for c.used > c.limit && c.order.Len() > 1 {
+		oldest := c.order.Remove(c.order.Back()).(*cachedChat)
+		delete(c.chats, oldest.chat)
+		c.used -= oldest.tokens
+		c.publish(oldest.chat, false)
+	}
+}
+
+func (c *prefixCache) publish(chat string, stored bool) {
+	c.last++
+	c.events = append(c.events, cacheEvent{Chat: chat, Stored: stored})
+	if len(c.events) > maxEvents {
+		c.events = append([]cacheEvent(nil), c.events[maxEvents/2:]...)
+	}
+}
+
+// after returns the events after the number, as far as they are kept.
+func (c *prefixCache) after(n uint64) eventsBody {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := c.last - uint64(len(c.events)) + 1
+	from := max(n+1, first)
+	b := eventsBody{First: from, Events: []cacheEvent{}}
+	if from <= c.last {
+		b.Events = append(b.Events, c.events[from-first:]...)
+	}
+	return b
+}
+
+// all returns the chats that are cached.
+func (c *prefixCache) all() chatsBody {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := chatsBody{Last: c.last, Chats: make([]string, 0, len(c.chats))}
+	for chat := range c.chats {
+		b.Chats = append(b.Chats, chat)
+	}
+	return b
+}
--- /dev/null
+++ b/cmd/standin/engine/send.go
@@ -0,0 +1,147 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"vanillalug.example/cmd/standin/fault"
+)
+
+// sender writes the events of one stream to one reader.
+type sender struct {
+	engine *Engine
+	stream *stream
+	w      *bufio.Writer
+	flush  func()
+	r      *http.Request
+	timer  *time.Timer
+}
+
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, s *stream, offset int) {
+	s.join()
+	defer func() { s.leave(time.Now()) }()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(requestHeader, s.id)
+	w.WriteHeader(http.StatusOK)
+	flusher := w.(http.Flusher)
+	flusher.Flush()
+	out := &sender{engine: e, stream: s, w: bufio.NewWriter(w), flush: flusher.Flush, r: r}
+	out.timer = time.NewTimer(0)
+	defer out.timer.Stop()
+	if out.tokens(offset) {
+		e.end(s)
+	}
+}
+
+// tokens sends the tokens from the offset on and the terminator. It reports
+// whether the stream was sent to its end.
+func (o *sender) tokens(offset int) bool {
+	f := o.engine.panel.Now()
+	for i := offset; i < o.stream.total; i++ {
+		if !o.wait(i) {
+			return false
+		}
+		o.misbehave(f, i, offset)
+		o.token(o.stream.id, i, o.stream.word)
+	}
+	if o.engine.panel.Strike(func(f *fault.Faults) *int { return &f.EndEarly }) {
+		o.flushAll()
+		return false
+	}
+	o.usage()
+	fmt.Fprintf(o.w, "id: %s/%d\ndata: [DONE]\n\n", o.stream.id, o.stream.total+1)
+	o.flushAll()
+	return true
+}
+
+// misbehave applies the fault switches for streams.
+func (o *sender) misbehave(f fault.Faults, i, offset int) {
+	p := o.engine.panel
+	if f.CutAfterTokens > 0 && i-offset == f.CutAfterTokens && p.Strike(func(f *fault.Faults) *int { return &f.CutStreams }) {
+		o.flushAll()
+		fault.Cut()
+	}
+	if f.SilentAfterTokens > 0 && i-offset == f.SilentAfterTokens && p.Strike(func(f *fault.Faults) *int { return &f.SilentStreams }) {
+		o.flushAll()
+		<-o.r.Context().Done()
+		fault.Cut()
+	}
+	if f.WrongIDs > 0 && p.Strike(func(f *fault.Faults) *int { return &f.WrongIDs }) {
+		o.token("somebody-else", i, "wrong")
+	}
+	if f.Shuffle && i > 0 && i%3 == 0 {
+		o.token(o.stream.id, i-1, o.stream.word)
+		if i+1 < o.stream.total {
+			o.token(o.stream.id, i+1, o.stream.word)
+		}
+	}
+}
+
+// wait waits until the token is due. It flushes before it waits.
+func (o *sender) wait(i int) bool {
+	select {
+	case <-o.stream.canceled:
+		return false
+	default:
+	}
+	d := time.Until(o.stream.due(i))
+	if d <= 0 {
+		return o.r.Context().Err() == nil
+	}
+	o.flushAll()
+	o.timer.Reset(d)
+	select {
+	case <-o.timer.C:
+		return true
+	case <-o.stream.canceled:
+		return false
+	case <-o.r.Context().Done():
+		return false
+	}
+}
+
+func (o *sender) flushAll() {
+	_ = o.w.Flush()
+	o.flush()
+}
+
+func (o *sender) token(id string, offset int, word string) {
+	fmt.Fprintf(o.w, "id: %s/%d\n", id, offset)
+	fmt.Fprintf(o.w, `data: {"id":%q,"object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":"%s-%d "}}]}`,
+		id, word, offset)
+	_, _ = o.w.WriteString("\n\n")
+}
+
+// usageChunk is the last chunk before the terminator.
+type usageChunk struct {
+	ID      string      `json:"id"`
+	Object  string      `json:"object"`
+	Choices []struct{}  `json:"choices"`
+	Usage   usageTokens `json:"usage"`
+}
+
+type usageTokens struct {
+	Prompt     int           `json:"prompt_tokens"`
+	Completion int           `json:"completion_tokens"`
+	Total      int           `json:"total_tokens"`
+	Details    promptDetails `json:"prompt_tokens_details"`
+}
+
+type promptDetails struct {
+	Cached int `json:"cached_tokens"`
+}
+
+func (o *sender) usage() {
+	s := o.stream
+	raw, _ := json.Marshal(usageChunk{
+		ID: s.id, Object: "chat.completion.chunk", Choices: []struct{}{},
+		Usage: usageTokens{
+			Prompt: s.prompt, Completion: s.total, Total: s.prompt + s.total,
+			Details: promptDetails{Cached: s.cached},
+		},
+	})
+	fmt.Fprintf(o.w, "id: %s/%d\ndata: %s\n\n", s.id, s.total, raw)
+}
--- /dev/null
+++ b/cmd/standin/store/store.go
@@ -0,0 +1,253 @@
+// Package store is a stand-in for the platform: a transactional table, an
+// object store and a list of VMs.
+package store
+
+import (
+	"cmp"
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+
+	"vanillalug.example/cmd/standin/fault"
+	"vanillalug.example/platform"
+	"vanillalug.example/reception"
+)
+
+const maxObjectBytes = 8 << 20
+
+// Store is the platform.
+type Store struct {
+	mu      sync.Mutex
+	key     string
+	panel   *fault.Panel
+	rows    map[string]platform.Row
+	stale   map[string]platform.Row
+	objects map[string][]byte
+	vms     []platform.VMBody
+	counts  Counts
+}
+
+// Counts is what the store was asked to do.
+type Counts struct {
+	Reads  int `json:"reads"`
+	Groups int `json:"groups"`
+	Writes int `json:"writes"`
+}
+
+// New returns an empty store for clients that present the key.
+func New(key string) *Store {
+	s := &Store{
+		key:     key,
+		rows:    map[string]platform.Row{},
+		objects: map[string][]byte{},
+		vms:     []platform.VMBody{},
+	}
+	s.panel = fault.NewPanel(s.faultsChanged)
+	return s
+}
+
+// Register adds the store to a server.
+func (s *Store) Register(server *reception.Server) {
+	s.panel.Register(server)
+	server.Handle(http.MethodGet, "/table/row", s.guard(s.getRow))
+	server.Handle(http.MethodGet, "/table/rows", s.guard(s.listRows))
+	server.Handle(http.MethodPost, "/table/write", s.guard(s.write))
+	server.Handle(http.MethodPost, "/table/transact", s.guard(s.transact))
+	server.Handle(http.MethodGet, "/objects/", s.guard(s.getObject))
+	server.Handle(http.MethodPut, "/objects/", s.guard(s.putObject))
+	server.Handle(http.MethodGet, "/vms", s.guard(s.listVMs))
+	server.Handle(http.MethodPost, "/vms", s.setVMs)
+	server.Handle(http.MethodGet, "/counts", s.getCounts)
+}
+
+func (s *Store) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.panel.Before(r)
+		if !reception.Authentic(r, s.key) {
+			http.Error(w, "wrong key", http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Store) faultsChanged(f fault.Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stale = nil
+	if f.StaleReads {
+		s.stale = maps.Clone(s.rows)
+	}
+}
+
+// readable returns the rows that reads see.
+func (s *Store) readable() map[string]platform.Row {
+	if s.stale != nil {
+		return s.stale
+	}
+	return s.rows
+}
+
+func (s *Store) getRow(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	row, ok := s.readable()[r.URL.Query().Get("key")]
+	s.counts.Reads++
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such row", http.StatusNotFound)
+		return
+	}
+	reception.WriteJSON(w, http.StatusOK, platform.NewRowBody(row))
+}
+
+func (s *Store) listRows(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	var b platform.RowsBody
+	s.mu.Lock()
+	s.counts.Reads++
+	for key, row := range s.readable() {
+		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") {
+			b.Rows = append(b.Rows, platform.NewRowBody(row))
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(b.Rows, func(x, y platform.RowBody) int { return cmp.Compare(x.Key, y.Key) })
+	b.Rows = b.Rows[:min(max(limit, 0), len(b.Rows))]
+	reception.WriteJSON(w, http.StatusOK, b)
+}
+
+func (s *Store) write(w http.ResponseWriter, r *http.Request) {
+	writes, ok := readWrites(w, r)
+	if !ok {
+		return
+	}
+	var b platform.ResultsBody
+	s.mu.Lock()
+	s.counts.Groups++
+	for _, x := range writes {
+		b.Results = append(b.Results, platform.NewResultBody(s.apply(x)))
+	}
+	s.mu.Unlock()
+	s.answer(w, http.StatusOK, b)
+}
+
+func (s *Store) transact(w http.ResponseWriter, r *http.Request) {
+	writes, ok := readWrites(w, r)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	s.counts.Groups++
+	failed := ""
+	for _, x := range writes {
+		if !platform.Holds(x.Condition(), s.rows[x.Key()].Revision()) {
+			failed = x.Key()
+		}
+	}
+	for _, x := range writes {
+		if failed == "" {
+			s.apply(x)
+		}
+	}
+	s.mu.Unlock()
+	if failed != "" {
+		s.answer(w, http.StatusConflict, platform.ConflictBody{Key: failed})
+		return
+	}
+	s.answer(w, http.StatusOK, struct{}{})
+}
+
+// answer answers a write, unless the switch says that the answer is lost.
+func (s *Store) answer(w http.ResponseWriter, status int, body any) {
+	if s.panel.Strike(func(f *fault.Faults) *int { return &f.LoseAnswers }) {
+		fault.Cut()
+	}
+	reception.WriteJSON(w, status, body)
+}
+
+func (s *Store) apply(x platform.Write) platform.Result {
+	old := s.rows[x.Key()]
+	if !platform.Holds(x.Condition(), old.Revision()) {
+		return platform.NewRefused(old)
+	}
+	s.counts.Writes++
+	row := platform.NewRow(x.Key(), x.Value(), old.Revision()+1)
+	s.rows[x.Key()] = row
+	return platform.NewWritten(row.Revision())
+}
+
+func readWrites(w http.ResponseWriter, r *http.Request) ([]platform.Write, bool) {
+	var b platform.WritesBody
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return nil, false
+	}
+	var out []platform.Write
+	for _, x := range b.Writes {
+		write, err := x.Write()
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return nil, false
+		}
+		out = append(out, write)
+	}
+	return out, true
+}
+
+func (s *Store) getObject(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	raw, ok := s.objects[r.URL.Path]
+	s.counts.Reads++
+	s.mu.Unlock()
+	if !ok {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	_, _ = w.Write(raw)
+}
+
+func (s *Store) putObject(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxObjectBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.objects[r.URL.Path] = raw
+	s.counts.Writes++
+	s.mu.Unlock()
+	s.answer(w, http.StatusOK, struct{}{})
+}
+
+func (s *Store) listVMs(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	b := platform.VMsBody{VMs: s.vms}
+	s.counts.Reads++
+	s.mu.Unlock()
+	reception.WriteJSON(w, http.StatusOK, b)
+}
+
+func (s *Store) setVMs(w http.ResponseWriter, r *http.Request) {
+	var b platform.VMsBody
+	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	s.vms = b.VMs
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) getCounts(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	c := s.counts
+	s.mu.Unlock()
+	reception.WriteJSON(w, http.StatusOK, c)
+}
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -50,11 +50,12 @@
 	switch e := ev.(type) {
 	case Arrive:
 		return d.arrive(now, e)
+	case Adopted:
+		d.admit(now, e.Request, 0)
 	case Finished:
 		return d.finished(now, e.ID)
 	case Withdrawn:
 		d.queue.remove(func(w waiting) bool { return w.request.id == e.ID })
-		return nil
 	case Reported:
 		d.reportedLoad(now, e)
 		return d.drain(now)
--- a/desk/event.go
+++ b/desk/event.go
@@ -14,6 +14,9 @@
 	Last         bool
 }
 
+// Adopted brings a request that runs already, since another router admitted it.
+type Adopted struct{ Request Request }
+
 // Finished says that an admitted request has ended.
 type Finished struct{ ID string }
 
@@ -40,6 +43,7 @@
 type Tick struct{}
 
 func (Arrive) deskEvent()      {}
+func (Adopted) deskEvent()     {}
 func (Finished) deskEvent()    {}
 func (Withdrawn) deskEvent()   {}
 func (Reported) deskEvent()    {}
--- a/dispatch/load_view.go
+++ b/dispatch/load_view.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -96,3 +97,17 @@
 	}
 	return &v.shards[h%loadShards]
 }
+
+// Sample returns up to n loads: half of them the newest, the others picked at
+// random, so that every load spreads however many there are.
+func (v *LoadView) Sample(n int, now time.Time, pick func(n int) int) []Load {
+	all := v.Freshest(math.MaxInt, now)
+	if len(all) <= n {
+		return all
+	}
+	for i := n / 2; i < n; i++ {
+		j := i + pick(len(all)-i)
+		all[i], all[j] = all[j], all[i]
+	}
+	return all[:n]
+}
--- a/fleet.go
+++ b/fleet.go
@@ -22,6 +22,9 @@
 	targets    map[string]Target
 	workspaces map[string]Workspace
 	byKey      map[string]string
+	sharing    map[string][]Engine
+	serving    map[string][]Engine
+	working    map[string][]Target
 }
 
 // Name returns the name of the fleet.
@@ -101,24 +104,18 @@
 
 // EnginesFor returns the engines that serve the model, in order of name.
 func (f *Fleet) EnginesFor(model string) []Engine {
-	var out []Engine
-	for _, e := range f.Engines() {
-		if e.Serves(model) {
-			out = append(out, e)
-		}
-	}
-	return out
+	return f.serving[model]
+}
+
+// EnginesSharing returns the engines that share a model with the engine,
+// itself included, in order of name.
+func (f *Fleet) EnginesSharing(e Engine) []Engine {
+	return f.sharing[e.name]
 }
 
 // TargetsFor returns the targets of the service, in order of name.
 func (f *Fleet) TargetsFor(service string) []Target {
-	var out []Target
-	for _, t := range f.Targets() {
-		if t.service == service {
-			out = append(out, t)
-		}
-	}
-	return out
+	return f.working[service]
 }
 
 // Digest returns the SHA-256 of the canonical form in hexadecimal.
--- a/fleet_read.go
+++ b/fleet_read.go
@@ -48,6 +48,7 @@
 	if err := in.Err(); err != nil {
 		return nil, err
 	}
+	f.index()
 	return f, nil
 }
 
--- a/rank.go
+++ b/rank.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +29,41 @@
 	return out
 }
 
+// RankEngines orders the engines for the key, best first, by the rule of the
+// level.
+func RankEngines(level int, key uint64, engines []Engine) []string {
+	if level < WeightedRank {
+		names := make([]string, len(engines))
+		for i, e := range engines {
+			names[i] = e.name
+		}
+		return Rank(key, names)
+	}
+	type scored struct {
+		name  string
+		score float64
+	}
+	all := make([]scored, len(engines))
+	for i, e := range engines {
+		all[i] = scored{name: e.name, score: weightedScore(key, e)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name))
+	})
+	out := make([]string, len(all))
+	for i, s := range all {
+		out[i] = s.name
+	}
+	return out
+}
+
+// weightedScore is the score of weighted rendezvous hashing: -w / ln(u) for a
+// hash u in (0, 1).
+func weightedScore(key uint64, e Engine) float64 {
+	u := (float64(rankScore(key, e.name)>>11) + 0.5) / (1 << 53)
+	return -float64(e.slots) / math.Log(u)
+}
+
 // Best returns the name that Rank puts first, or "".
 func Best(key uint64, names []string) string {
 	best, bestScore := "", uint64(0)
--- a/reception/log.go
+++ b/reception/log.go
@@ -16,7 +16,7 @@
 		JSONFormat: asJSON,
 		Output:     w,
 	})
-	_ = logx.SetUp(logx.LogConf{Level: "error", Mode: "console", Stat: false})
+	_ = logx.SetUp(logx.LogConf{Level: "severe", Mode: "console", Stat: false})
 	logx.SetWriter(&logWriter{log: log.Named("go-zero")})
 	return log
 }
--- a/reception/server.go
+++ b/reception/server.go
@@ -69,18 +69,18 @@
 	if err != nil {
 		return nil, fmt.Errorf("NewServer: %w", err)
 	}
-	// Of go-zero's middlewares only Recover stays on. Shedding, Breaker and
-	// MaxConns refuse work behind the back of admission, Timeout buffers
-	// streams and cuts them, Gunzip and MaxBytes change bodies.
+	// All of go-zero's middlewares are off. Shedding, Breaker and MaxConns
+	// refuse work behind the back of admission, Timeout buffers streams and
+	// cuts them, Gunzip and MaxBytes change bodies, and Recover would end an
+	// aborted stream cleanly; net/http recovers by closing the connection.
 	conf := rest.RestConf{
 		ServiceConf: service.ServiceConf{
 			Name:     name,
 			Mode:     service.ProMode,
 			Shutdown: proc.ShutdownConf{WrapUpTime: forever, WaitTime: forever},
 		},
-		Host:        host,
-		Port:        port,
-		Middlewares: rest.MiddlewaresConf{Recover: true},
+		Host: host,
+		Port: port,
 	}
 	s := &Server{name: name, opts: o}
 	server, err := rest.NewServer(conf, rest.WithRouter(newPathRouter()))
--- a/rules_level.go
+++ b/rules_level.go
@@ -2,10 +2,17 @@
 
 import "fmt"
 
-// The rules levels that this build can follow.
+// The rules levels that this build can follow. Rules that all routers have to
+// apply alike change only with the level in force:
+//
+//   - PlainRank ranks engines by rendezvous hashing.
+//   - WeightedRank ranks them by rendezvous hashing weighted with their slots.
 const (
-	LowestRulesLevel  = 1
-	HighestRulesLevel = 2
+	PlainRank    = 1
+	WeightedRank = 2
+
+	LowestRulesLevel  = PlainRank
+	HighestRulesLevel = WeightedRank
 )
 
 // LevelRange is the range of rules levels that a build can follow.
@@ -17,6 +24,18 @@
 // NewLevelRange returns the range from low to high, both included.
 func NewLevelRange(low, high int) LevelRange { return LevelRange{low: low, high: high} }
 
+// ParseLevelRange reads what LevelRange.String wrote.
+func ParseLevelRange(s string) (LevelRange, error) {
+	var r LevelRange
+	if _, err := fmt.Sscanf(s, "%d-%d", &r.low, &r.high); err != nil {
+		return LevelRange{}, fmt.Errorf("ParseLevelRange: %q: want two levels such as 1-2: %w", s, err)
+	}
+	if r.low < 1 || r.high < r.low {
+		return LevelRange{}, fmt.Errorf("ParseLevelRange: %q: want the lower level first, 1 at least", s)
+	}
+	return r, nil
+}
+
 // BuildLevels returns the range of this build.
 func BuildLevels() LevelRange { return NewLevelRange(LowestRulesLevel, HighestRulesLevel) }
 
