Serve the whole path end to end by separate processes

Cause: nothing had been run. Found by running it: a router that had stopped was still counted as a member, so that status said the fleet did not agree; a router now says that it is gone when it ends. Ruled out: waiting for suspicion, which takes seconds and marks an orderly stop as a failure.

--- /dev/null
+++ b/cmd/demo/stage/document.go
@@ -0,0 +1,81 @@
+package stage
+
+import (
+	"fmt"
+	"strings"
+
+	"vanillalug.example"
+)
+
+// Model is the model that the engines of the stage serve.
+const Model = "small"
+
+// Workspaces of the stage. The key of each is its name with "-key".
+var Workspaces = []string{"taller-norte", "taller-sur", "contabile", "grande"}
+
+// KeyOf returns the key of a workspace.
+func KeyOf(workspace string) string { return workspace + "-key" }
+
+// places are those of the first user, with one more for a second region.
+var places = []string{"centro", "oriente", "poniente"}
+
+// placeOf spreads the VMs over the places.
+func placeOf(i int) string { return places[i%len(places)] }
+
+// document returns the first fleet document.
+func (s *Stage) document() string {
+	var b strings.Builder
+	b.WriteString("[fleet]\nname = demo\n")
+	for k, v := range s.plan.fleet {
+		fmt.Fprintf(&b, "%s = %s\n", k, v)
+	}
+	for _, p := range places {
+		fmt.Fprintf(&b, "\n[place %s]\nregion = santiago\n", p)
+	}
+	b.WriteString("\n[class interactive]\npriority = 0\nweight = 8\nqueue-deadline = 10s\n")
+	b.WriteString("\n[class batch]\npriority = 5\nweight = 1\nqueue-deadline = 30s\n")
+	b.WriteString("\n[service bookings]\ndeadline = 5s\n")
+	b.WriteString("\n[service ledger]\ndeadline = 5s\noutcomes = /outcomes/{key}\n")
+	b.WriteString("\n[call balances]\nservice = ledger\nmethod = GET\npath = /balances/**\nrepeatable = yes\n")
+	b.WriteString("\n[call crews]\nservice = bookings\nmethod = GET\npath = /crews/**\nrepeatable = yes\n")
+	for i := range s.plan.engines {
+		name := fmt.Sprintf("e%d", i+1)
+		fmt.Fprintf(&b, "\n[engine %s]\nplace = %s\naddress = %s\nmodels = %s\nslots = %d\n",
+			name, placeOf(i), s.addresses[name], Model, s.plan.slots)
+	}
+	for i := range s.plan.workers {
+		name := fmt.Sprintf("b%d", i+1)
+		fmt.Fprintf(&b, "\n[target %s]\nservice = bookings\nplace = %s\naddress = %s\n", name, placeOf(i), s.addresses[name])
+		name = fmt.Sprintf("l%d", i+1)
+		fmt.Fprintf(&b, "\n[target %s]\nservice = ledger\nplace = %s\naddress = %s\n", name, placeOf(i), s.addresses[name])
+	}
+	for _, w := range Workspaces {
+		fmt.Fprintf(&b, "\n[workspace %s]\nkey-sha256 = %s\nclass = interactive\nopen-limit = 5000\n", w, vanillalug.KeyDigest(KeyOf(w)))
+	}
+	return b.String()
+}
+
+// settings returns the settings of a router.
+func (s *Stage) settings(name string, i int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[router]\nname = %s\nplace = %s\n", name, placeOf(i))
+	fmt.Fprintf(&b, "\n[listen]\ncallers = %s\npeers = %s\noperators = %s\n",
+		s.addresses[name], s.addresses[name+"/peers"], s.addresses[name+"/operators"])
+	fmt.Fprintf(&b, "\n[platform]\naddress = %s\nkey = %s\n", s.addresses["platform"], platformKey)
+	fmt.Fprintf(&b, "\n[keys]\npeers = %s\noperators = %s\n", peerKey, operatorKey)
+	fmt.Fprintf(&b, "\n[times]\nbalancer = %s\nvms-interval = 1s\n", s.plan.balancer)
+	for k, v := range s.plan.settings {
+		fmt.Fprintf(&b, "%s = %s\n", k, v)
+	}
+	return b.String()
+}
+
+// operatorSettings returns the settings of the operators' command.
+func (s *Stage) operatorSettings() string {
+	var routers []string
+	for i := range s.plan.routers {
+		routers = append(routers, s.addresses[fmt.Sprintf("r%d/operators", i+1)])
+	}
+	return fmt.Sprintf("[operator]\nname = ana\n\n[platform]\naddress = %s\nkey = %s\n\n[routers]\naddresses = %s\nkey = %s\n",
+		s.addresses["platform"], platformKey, strings.Join(routers, ", "), operatorKey)
+}
--- /dev/null
+++ b/cmd/demo/stage/plan.go
@@ -0,0 +1,62 @@
+package stage
+
+import "time"
+
+// Plan is the size and the speed of a fleet.
+type Plan struct {
+	routers  int
+	engines  int
+	workers  int
+	slots    int
+	interval time.Duration
+	prefill  time.Duration
+	cache    int
+	balancer time.Duration
+	settings map[string]string
+	fleet    map[string]string
+}
+
+// Option changes a new Plan.
+type Option func(*Plan)
+
+// WithRouters sets the number of routers.
+func WithRouters(n int) Option { return func(p *Plan) { p.routers = n } }
+
+// WithEngines sets the number of engines.
+func WithEngines(n int) Option { return func(p *Plan) { p.engines = n } }
+
+// WithWorkers sets the number of booking workers.
+func WithWorkers(n int) Option { return func(p *Plan) { p.workers = n } }
+
+// WithSlots sets the number of requests that an engine runs at once.
+func WithSlots(n int) Option { return func(p *Plan) { p.slots = n } }
+
+// WithTokenInterval sets the time between two tokens of an engine.
+func WithTokenInterval(d time.Duration) Option { return func(p *Plan) { p.interval = d } }
+
+// WithPrefill sets the time that an engine needs for a prompt token.
+func WithPrefill(d time.Duration) Option { return func(p *Plan) { p.prefill = d } }
+
+// WithCacheTokens sets the size of an engine's cache.
+func WithCacheTokens(n int) Option { return func(p *Plan) { p.cache = n } }
+
+// WithBalancerTime sets how long a leaving router waits for the balancer.
+func WithBalancerTime(d time.Duration) Option { return func(p *Plan) { p.balancer = d } }
+
+// WithTime sets a key of the section "times" of every router's settings.
+func WithTime(key, value string) Option { return func(p *Plan) { p.settings[key] = value } }
+
+// WithFleetKey sets a key of the section "fleet" of the first document.
+func WithFleetKey(key, value string) Option { return func(p *Plan) { p.fleet[key] = value } }
+
+func newPlan(opts ...Option) *Plan {
+	p := &Plan{
+		routers: 3, engines: 3, workers: 2, slots: 16, interval: 10 * time.Millisecond,
+		prefill: 10 * time.Microsecond, cache: 1_000_000, balancer: 300 * time.Millisecond,
+		settings: map[string]string{}, fleet: map[string]string{},
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
+}
--- /dev/null
+++ b/cmd/demo/stage/ports.go
@@ -0,0 +1,35 @@
+package stage
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"sync"
+)
+
+// The ports that processes listen on lie below those that the kernel gives to
+// outgoing connections.
+const (
+	firstPort = 10000
+	portCount = 20000
+)
+
+var (
+	portMu   sync.Mutex
+	nextPort = os.Getpid() * 37 % portCount
+)
+
+// freeAddress returns a loopback address that nobody listens on.
+func freeAddress() (string, error) {
+	portMu.Lock()
+	defer portMu.Unlock()
+	for range portCount {
+		nextPort = (nextPort + 1) % portCount
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, l.Close()
+		}
+	}
+	return "", fmt.Errorf("freeAddress: no port is free")
+}
--- /dev/null
+++ b/cmd/demo/stage/stage.go
@@ -0,0 +1,334 @@
+package stage
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"vanillalug.example/platform"
+)
+
+const (
+	platformKey = "platform-key"
+	peerKey     = "peer-key"
+	operatorKey = "operator-key"
+
+	startTimeout = 20 * time.Second
+	pollPause    = 20 * time.Millisecond
+)
+
+// Stage is a running fleet.
+type Stage struct {
+	dir  string
+	bin  string
+	plan *Plan
+
+	mu        sync.Mutex
+	addresses map[string]string
+	processes map[string]*Process
+	vms       []platform.VMBody
+}
+
+// New prepares a fleet. The folder dir takes its files, the folder bin has the
+// programs.
+func New(dir, bin string, opts ...Option) (*Stage, error) {
+	s := &Stage{
+		dir: dir, bin: bin, plan: newPlan(opts...),
+		addresses: map[string]string{}, processes: map[string]*Process{},
+	}
+	names := []string{"platform"}
+	for i := range s.plan.engines {
+		names = append(names, fmt.Sprintf("e%d", i+1))
+	}
+	for i := range s.plan.workers {
+		names = append(names, fmt.Sprintf("b%d", i+1), fmt.Sprintf("l%d", i+1))
+	}
+	for i := range s.plan.routers {
+		r := fmt.Sprintf("r%d", i+1)
+		names = append(names, r, r+"/peers", r+"/operators")
+	}
+	for _, name := range names {
+		address, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		s.addresses[name] = address
+	}
+	return s, s.writeFiles()
+}
+
+func (s *Stage) writeFiles() error {
+	files := map[string]string{"fleet.ini": s.document(), "operator.ini": s.operatorSettings()}
+	for i := range s.plan.routers {
+		name := fmt.Sprintf("r%d", i+1)
+		files[name+".ini"] = s.settings(name, i)
+	}
+	for name, text := range files {
+		if err := os.WriteFile(filepath.Join(s.dir, name), []byte(text), 0o600); err != nil {
+			return fmt.Errorf("Stage.writeFiles: %w", err)
+		}
+	}
+	return nil
+}
+
+// Start starts every process, publishes the first document and waits until
+// every router is ready.
+func (s *Stage) Start(ctx context.Context) error {
+	if err := s.StartTargets(ctx); err != nil {
+		return err
+	}
+	if out, err := s.Operate(ctx, "publish", "-base", "0", "-reason", "first", filepath.Join(s.dir, "fleet.ini")); err != nil {
+		return fmt.Errorf("Stage.Start: publish: %w: %s", err, out)
+	}
+	for i := range s.plan.routers {
+		if err := s.StartRouter(fmt.Sprintf("r%d", i+1), "router"); err != nil {
+			return err
+		}
+	}
+	return s.AwaitReady(ctx)
+}
+
+// StartTargets starts the platform, the engines and the workers.
+func (s *Stage) StartTargets(ctx context.Context) error {
+	err := s.start("platform", "standin", "platform", "-listen", s.Address("platform"), "-key", platformKey)
+	if err != nil {
+		return err
+	}
+	for i := range s.plan.engines {
+		if err := s.StartEngine(fmt.Sprintf("e%d", i+1)); err != nil {
+			return err
+		}
+	}
+	for i := range s.plan.workers {
+		for _, kind := range []string{"b", "l"} {
+			name := fmt.Sprintf("%s%d", kind, i+1)
+			if err := s.start(name, "standin", "service", "-listen", s.Address(name), "-name", name); err != nil {
+				return err
+			}
+		}
+	}
+	for name := range s.allProcesses() {
+		if err := s.await(ctx, name); err != nil {
+			return err
+		}
+	}
+	return s.listVMs()
+}
+
+// StartEngine starts an engine, again where it has ended.
+func (s *Stage) StartEngine(name string) error {
+	return s.start(name, "standin", "engine", "-listen", s.Address(name), "-name", name, "-models", Model,
+		"-slots", fmt.Sprint(s.plan.slots), "-token-interval", s.plan.interval.String(),
+		"-prefill", s.plan.prefill.String(), "-cache-tokens", fmt.Sprint(s.plan.cache))
+}
+
+// StartRouter starts a router with the program of a name.
+func (s *Stage) StartRouter(name, program string) error {
+	return s.start(name, program, "-settings", filepath.Join(s.dir, name+".ini"))
+}
+
+func (s *Stage) start(name, program string, args ...string) error {
+	p, err := startProcess(s.dir, name, filepath.Join(s.bin, program), args...)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes[name] = p
+	return nil
+}
+
+// listVMs puts every VM on the platform's list.
+func (s *Stage) listVMs() error {
+	s.vms = nil
+	for i := range s.plan.routers {
+		name := fmt.Sprintf("r%d", i+1)
+		s.vms = append(s.vms, platform.VMBody{Name: name, Role: platform.RoleRouter, Address: s.Address(name + "/peers"), Place: placeOf(i)})
+	}
+	for i := range s.plan.engines {
+		name := fmt.Sprintf("e%d", i+1)
+		s.vms = append(s.vms, platform.VMBody{Name: name, Role: "engine", Address: s.Address(name), Place: placeOf(i)})
+	}
+	for i := range s.plan.workers {
+		for _, kind := range []string{"b", "l"} {
+			name := fmt.Sprintf("%s%d", kind, i+1)
+			s.vms = append(s.vms, platform.VMBody{Name: name, Role: "worker", Address: s.Address(name), Place: placeOf(i)})
+		}
+	}
+	return s.postVMs()
+}
+
+// SetLeaving changes the platform's list of VMs.
+func (s *Stage) SetLeaving(name string, leaving bool) error {
+	i := slices.IndexFunc(s.vms, func(v platform.VMBody) bool { return v.Name == name })
+	if i < 0 {
+		return fmt.Errorf("Stage.SetLeaving: %s: is not on the list", name)
+	}
+	s.vms[i].Leaving = leaving
+	return s.postVMs()
+}
+
+func (s *Stage) postVMs() error {
+	raw, err := json.Marshal(platform.VMsBody{VMs: s.vms})
+	if err != nil {
+		return err
+	}
+	return s.Post("platform", "/vms", string(raw))
+}
+
+// Faults sets the fault switches of a stand-in, given as JSON.
+func (s *Stage) Faults(name, switches string) error { return s.Post(name, "/faults", switches) }
+
+// Post posts a body to a process.
+func (s *Stage) Post(name, path, body string) error {
+	w, err := http.Post("http://"+s.Address(name)+path, "application/json", strings.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("Stage.Post: %s: %w", name, err)
+	}
+	defer func() { _ = w.Body.Close() }()
+	if w.StatusCode >= http.StatusMultipleChoices {
+		raw, _ := io.ReadAll(w.Body)
+		return fmt.Errorf("Stage.Post: %s: status %d: %s", name, w.StatusCode, raw)
+	}
+	return nil
+}
+
+// Get returns the body of a process's answer.
+func (s *Stage) Get(name, path string) ([]byte, error) {
+	w, err := http.Get("http://" + s.Address(name) + path)
+	if err != nil {
+		return nil, fmt.Errorf("Stage.Get: %s: %w", name, err)
+	}
+	defer func() { _ = w.Body.Close() }()
+	raw, err := io.ReadAll(w.Body)
+	if err == nil && w.StatusCode >= http.StatusMultipleChoices {
+		err = fmt.Errorf("Stage.Get: %s: status %d: %s", name, w.StatusCode, raw)
+	}
+	return raw, err
+}
+
+// Operate runs the operators' command and returns what it printed.
+func (s *Stage) Operate(ctx context.Context, command string, args ...string) (string, error) {
+	args = append([]string{command, "-settings", filepath.Join(s.dir, "operator.ini")}, args...)
+	cmd := exec.CommandContext(ctx, filepath.Join(s.bin, "vanillalug"), args...)
+	var out bytes.Buffer
+	cmd.Stdout = &out
+	cmd.Stderr = &out
+	err := cmd.Run()
+	return out.String(), err
+}
+
+// AwaitReady waits until every router that runs is ready and knows the others.
+func (s *Stage) AwaitReady(ctx context.Context) error {
+	ctx, done := context.WithTimeout(ctx, startTimeout)
+	defer done()
+	for {
+		out, err := s.Operate(ctx, "status", "-json")
+		if err == nil && strings.Count(out, `"ready": true`) == s.plan.routers {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("Stage.AwaitReady: %w: %s", errors.Join(err, ctx.Err()), out)
+		case <-time.After(10 * pollPause):
+		}
+	}
+}
+
+// await waits until the process listens.
+func (s *Stage) await(ctx context.Context, name string) error {
+	ctx, done := context.WithTimeout(ctx, startTimeout)
+	defer done()
+	for {
+		w, err := http.Get("http://" + s.Address(name) + "/healthz")
+		if err == nil {
+			return w.Body.Close()
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("Stage.await: %s does not listen: %w", name, err)
+		case <-time.After(pollPause):
+		}
+	}
+}
+
+// Address returns the address of a process: callers for a router, and with
+// "/peers" or "/operators" behind its name its other listeners.
+func (s *Stage) Address(name string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.addresses[name]
+}
+
+// Addresses returns the addresses of all processes of a kind: "r", "e", "b",
+// "l", with an ending such as "/operators".
+func (s *Stage) Addresses(kind, ending string) []string {
+	n := map[string]int{"r": s.plan.routers, "e": s.plan.engines, "b": s.plan.workers, "l": s.plan.workers}[kind]
+	var out []string
+	for i := range n {
+		out = append(out, s.Address(fmt.Sprintf("%s%d%s", kind, i+1, ending)))
+	}
+	return out
+}
+
+// Process returns the process of a name.
+func (s *Stage) Process(name string) (*Process, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.processes[name]
+	if !ok {
+		return nil, fmt.Errorf("Stage.Process: %s: was not started", name)
+	}
+	return p, nil
+}
+
+// Signal sends a signal to a process.
+func (s *Stage) Signal(name string, sig syscall.Signal) error {
+	p, err := s.Process(name)
+	if err != nil {
+		return err
+	}
+	return p.Signal(sig)
+}
+
+func (s *Stage) allProcesses() map[string]*Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string]*Process{}
+	for name, p := range s.processes {
+		out[name] = p
+	}
+	return out
+}
+
+// Stop ends every process, each by its id.
+func (s *Stage) Stop() {
+	var wg sync.WaitGroup
+	for _, p := range s.allProcesses() {
+		wg.Go(p.kill)
+	}
+	wg.Wait()
+}
+
+// Logs returns the end of every router's log.
+func (s *Stage) Logs() string {
+	const most = 3000
+	var b strings.Builder
+	for name, p := range s.allProcesses() {
+		text := p.Log()
+		fmt.Fprintf(&b, "--- %s\n%s\n", name, text[max(0, len(text)-most):])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/cmd/load/traffic/report.go
@@ -0,0 +1,191 @@
+package traffic
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"vanillalug.example/cmd/load/caller"
+)
+
+// Report is what callers saw of a load.
+type Report struct {
+	Seed       uint64            `json:"seed"`
+	Sent       int               `json:"sent"`
+	Whole      int               `json:"whole"`
+	Returning  int               `json:"returning"`
+	Prompt     int               `json:"returning-prompt-tokens"`
+	Cached     int               `json:"returning-cached-tokens"`
+	Reuse      float64           `json:"reuse"`
+	RunStates  map[string]int    `json:"run-states"`
+	Problems   map[string]int    `json:"problems"`
+	Workspaces []WorkspaceReport `json:"workspaces"`
+	Engines    []EngineReport    `json:"engines,omitempty"`
+	Skew       float64           `json:"skew,omitempty"`
+	Control    []ControlReport   `json:"control,omitempty"`
+
+	mu    sync.Mutex
+	byKey map[string]*series
+}
+
+// WorkspaceReport has the latencies of one workspace and class, milliseconds.
+type WorkspaceReport struct {
+	Workspace string  `json:"workspace"`
+	Class     string  `json:"class"`
+	Sent      int     `json:"sent"`
+	Whole     int     `json:"whole"`
+	FirstP50  float64 `json:"first-token-p50-ms"`
+	FirstP95  float64 `json:"first-token-p95-ms"`
+	FirstP99  float64 `json:"first-token-p99-ms"`
+	GapP95    float64 `json:"largest-gap-p95-ms"`
+	WholeP50  float64 `json:"whole-answer-p50-ms"`
+	WholeP99  float64 `json:"whole-answer-p99-ms"`
+}
+
+// EngineReport is what one engine counted.
+type EngineReport struct {
+	Name   string `json:"name"`
+	Total  int    `json:"total"`
+	Peak   int    `json:"peak"`
+	Prompt int    `json:"prompt-tokens"`
+	Cached int    `json:"cached-tokens"`
+}
+
+// ControlReport is the control traffic of one router.
+type ControlReport struct {
+	Router string             `json:"router"`
+	Total  float64            `json:"bytes-per-second"`
+	Kinds  map[string]float64 `json:"kinds"`
+}
+
+type series struct {
+	workspace Workspace
+	sent      int
+	whole     int
+	first     *hdrhistogram.Histogram
+	gap       *hdrhistogram.Histogram
+	total     *hdrhistogram.Histogram
+}
+
+const (
+	maxLatency = int64(10 * time.Minute / time.Microsecond)
+	digits     = 3
+)
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatency, digits) }
+
+func newReport(p Plan) *Report {
+	return &Report{
+		Seed: p.Seed, RunStates: map[string]int{}, Problems: map[string]int{}, byKey: map[string]*series{},
+	}
+}
+
+func (r *Report) add(ws Workspace, returning bool, x caller.Result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.series(ws)
+	r.Sent++
+	s.sent++
+	r.RunStates[stateWord(x)]++
+	if x.Problem != nil {
+		r.Problems[x.Problem.Code()]++
+	}
+	if !x.Whole {
+		return
+	}
+	r.Whole++
+	s.whole++
+	if returning {
+		r.Returning++
+		r.Prompt += x.Prompt
+		r.Cached += x.Cached
+	}
+	_ = s.first.RecordValue(x.FirstToken.Microseconds())
+	_ = s.gap.RecordValue(x.MaxGap.Microseconds())
+	_ = s.total.RecordValue(x.Total.Microseconds())
+}
+
+func stateWord(x caller.Result) string {
+	switch {
+	case x.Wrong > 0:
+		return "wrong-answer"
+	case x.RunState() != "":
+		return string(x.RunState())
+	case x.Err != nil:
+		return "connection-failed"
+	}
+	return "cut-without-word"
+}
+
+func (r *Report) series(ws Workspace) *series {
+	key := ws.Name + "/" + ws.Class
+	s, ok := r.byKey[key]
+	if !ok {
+		s = &series{workspace: ws, first: newHistogram(), gap: newHistogram(), total: newHistogram()}
+		r.byKey[key] = s
+	}
+	return s
+}
+
+func (r *Report) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.Prompt > 0 {
+		r.Reuse = float64(r.Cached) / float64(r.Prompt)
+	}
+	for _, key := range slices.Sorted(maps.Keys(r.byKey)) {
+		s := r.byKey[key]
+		r.Workspaces = append(r.Workspaces, WorkspaceReport{
+			Workspace: s.workspace.Name, Class: s.workspace.Class, Sent: s.sent, Whole: s.whole,
+			FirstP50: quantile(s.first, 50), FirstP95: quantile(s.first, 95), FirstP99: quantile(s.first, 99),
+			GapP95: quantile(s.gap, 95), WholeP50: quantile(s.total, 50), WholeP99: quantile(s.total, 99),
+		})
+	}
+}
+
+func quantile(h *hdrhistogram.Histogram, q float64) float64 {
+	return float64(h.ValueAtQuantile(q)) / 1000
+}
+
+// SetEngines adds what the engines counted and the skew among them.
+func (r *Report) SetEngines(engines []EngineReport) {
+	r.Engines = engines
+	total, top := 0, 0
+	for _, e := range engines {
+		total += e.Total
+		top = max(top, e.Total)
+	}
+	if total > 0 {
+		r.Skew = float64(top) * float64(len(engines)) / float64(total)
+	}
+}
+
+// Write prints the report for people.
+func (r *Report) Write(out io.Writer) {
+	fmt.Fprintf(out, "sent %d, whole %d, returning %d, reuse of returning prompt tokens %.3f, seed %d\n",
+		r.Sent, r.Whole, r.Returning, r.Reuse, r.Seed)
+	fmt.Fprintf(out, "run states %v, problems %v\n", r.RunStates, r.Problems)
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "workspace\tclass\tsent\twhole\tfirst p50\tp95\tp99\tgap p95\twhole p50\tp99 ms\t")
+	for _, x := range r.Workspaces {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t\n", x.Workspace, x.Class, x.Sent, x.Whole,
+			x.FirstP50, x.FirstP95, x.FirstP99, x.GapP95, x.WholeP50, x.WholeP99)
+	}
+	_ = w.Flush()
+	if len(r.Engines) > 0 {
+		fmt.Fprintf(out, "skew of requests over engines %.3f\n", r.Skew)
+	}
+	for _, e := range r.Engines {
+		fmt.Fprintf(out, "engine %s: %d requests, %d at once at most, %d of %d prompt tokens cached\n",
+			e.Name, e.Total, e.Peak, e.Cached, e.Prompt)
+	}
+	for _, c := range r.Control {
+		fmt.Fprintf(out, "router %s: control %.0f bytes/s %v\n", c.Router, c.Total, c.Kinds)
+	}
+}
--- a/cmd/router/office/leave.go
+++ b/cmd/router/office/leave.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"vanillalug.example/roster"
 )
 
 const leavePoll = 50 * time.Millisecond
@@ -16,16 +18,18 @@
 		return false
 	}
 	o.log.Info("leaving", "open-requests", o.open.total())
-	o.tellLeaving()
+	o.tell(roster.Leave{})
 	for _, p := range o.posts.all() {
 		go o.handOver(p)
 	}
 	if !wait(ctx, balancer) {
 		return false
 	}
-	return waitUntil(ctx, func() bool {
+	finished := waitUntil(ctx, func() bool {
 		return o.open.total() == 0 && o.journal.pendingRows() == 0
 	})
+	o.tell(roster.Left{})
+	return finished
 }
 
 // wait reports whether the time passed before the context ended.
--- a/cmd/router/office/membership.go
+++ b/cmd/router/office/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"vanillalug.example/cmd/router/meter"
@@ -74,6 +75,9 @@
 }
 
 func (o *Office) memberChanged(e roster.Changed) {
+	if e.From == e.Member.State() {
+		return
+	}
 	state := e.Member.State().String()
 	meter.Count("member_changes", "state", state)
 	o.log.Info("member changed", "member", e.Member.Name(), "from", e.From, "to", state,
@@ -172,18 +176,21 @@
 	return g
 }
 
-// tellLeaving tells some peers at once that this router is leaving.
-func (o *Office) tellLeaving() {
-	o.carryRoster(o.roster.Handle(roster.Leave{}))
+// tell carries out an event about this router itself and tells some peers at
+// once.
+func (o *Office) tell(ev roster.Event) {
+	o.carryRoster(o.roster.Handle(ev))
 	members := o.roster.Members()
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var wg sync.WaitGroup
 	told := 0
 	for _, m := range members {
 		if m.Name() != o.name && told < leaveMessages {
-			go o.probe(m)
+			wg.Go(func() { o.probe(m) })
 			told++
 		}
 	}
+	wg.Wait()
 }
 
 func memberBody(m roster.Member) *peer.Member {
--- /dev/null
+++ b/cmd/vanillalug/diff.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"vanillalug.example/register"
+)
+
+const usageDiff = `vanillalug diff -settings FILE DOCUMENT
+
+Diff shows what publishing the document would change, section by section and
+key by key, against the newest published version.
+
+Exit codes: 0 whether or not there is a difference, 2 when the document has
+faults.
+`
+
+func runDiff(c *call) int {
+	c.withSettings()
+	c.withJSON()
+	if !c.parse(1) {
+		return exitUsage
+	}
+	f, err := readDocument(c.flags.Arg(0))
+	if err != nil {
+		return c.fail(exitUsage, err)
+	}
+	cfg, err := loadSettings(c.settings)
+	if err != nil {
+		return c.fail(exitUsage, err)
+	}
+	ctx, done := context.WithTimeout(context.Background(), commandTimeout)
+	defer done()
+	v := newVersions(newPlatform(cfg))
+	head, err := v.head(ctx)
+	if err != nil {
+		return c.fail(exitFailure, err)
+	}
+	old, err := v.text(ctx, head.record.Head())
+	if err != nil {
+		return c.fail(exitFailure, err)
+	}
+	changes := register.Compare(old, f.Canonical())
+	if c.json {
+		c.writeJSON(changeBodies(changes))
+		return 0
+	}
+	fmt.Fprintf(c.out, "against version %d:\n", head.record.Head().Version())
+	printChanges(c, changes)
+	return 0
+}
+
+type changeBody struct {
+	Section string `json:"section"`
+	Key     string `json:"key"`
+	Old     string `json:"old"`
+	New     string `json:"new"`
+}
+
+func changeBodies(changes []register.Change) []changeBody {
+	out := []changeBody{}
+	for _, x := range changes {
+		out = append(out, changeBody{Section: x.Section(), Key: x.Key(), Old: x.Old(), New: x.New()})
+	}
+	return out
+}
+
+func printChanges(c *call, changes []register.Change) {
+	if len(changes) == 0 {
+		fmt.Fprintln(c.out, "  no difference")
+	}
+	for _, x := range changes {
+		fmt.Fprintln(c.out, "  "+x.String())
+	}
+}
--- /dev/null
+++ b/cmd/vanillalug/versions.go
@@ -0,0 +1,250 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"vanillalug.example"
+	"vanillalug.example/platform"
+	"vanillalug.example/register"
+)
+
+const (
+	commandTimeout = 30 * time.Second
+	retryPause     = 200 * time.Millisecond
+	historyPage    = 1000
+)
+
+// store is the part of the platform that holds the published versions.
+type store interface {
+	platform.Table
+	platform.Objects
+}
+
+// versions reads and publishes the versions of the fleet document.
+type versions struct {
+	store store
+}
+
+func newVersions(s store) *versions { return &versions{store: s} }
+
+// headRow is the newest record with the revision of its row.
+type headRow struct {
+	record   register.Record
+	revision uint64
+}
+
+// head returns the newest version; its number is 0 while there is none.
+func (v *versions) head(ctx context.Context) (headRow, error) {
+	row, err := v.store.Get(ctx, register.HeadKey)
+	var missing *platform.NotFoundError
+	if errors.As(err, &missing) {
+		return headRow{}, nil
+	}
+	if err != nil {
+		return headRow{}, fmt.Errorf("versions.head: %w", err)
+	}
+	h := headRow{revision: row.Revision()}
+	if err := json.Unmarshal(row.Value(), &h.record); err != nil {
+		return headRow{}, fmt.Errorf("versions.head: %w", err)
+	}
+	return h, nil
+}
+
+// record returns the record of a version.
+func (v *versions) record(ctx context.Context, version uint64) (register.Record, error) {
+	var r register.Record
+	row, err := v.store.Get(ctx, register.VersionKey(version))
+	if err != nil {
+		return r, fmt.Errorf("versions.record: version %d: %w", version, err)
+	}
+	if err := json.Unmarshal(row.Value(), &r); err != nil {
+		return r, fmt.Errorf("versions.record: version %d: %w", version, err)
+	}
+	return r, nil
+}
+
+// text returns the document of a head, or nothing for version 0.
+func (v *versions) text(ctx context.Context, h register.Head) ([]byte, error) {
+	if h.Version() == 0 {
+		return nil, nil
+	}
+	text, err := v.store.GetObject(ctx, register.DocumentKey(h.Digest()))
+	if err != nil {
+		return nil, fmt.Errorf("versions.text: version %d: %w", h.Version(), err)
+	}
+	return text, nil
+}
+
+// history returns every record, oldest first.
+func (v *versions) history(ctx context.Context) ([]register.Record, error) {
+	var out []register.Record
+	after := ""
+	for {
+		rows, err := v.store.List(ctx, register.VersionPrefix(), after, historyPage)
+		if err != nil {
+			return nil, fmt.Errorf("versions.history: %w", err)
+		}
+		for _, row := range rows {
+			var r register.Record
+			if err := json.Unmarshal(row.Value(), &r); err != nil {
+				return nil, fmt.Errorf("versions.history: %s: %w", row.Key(), err)
+			}
+			out = append(out, r)
+			after = row.Key()
+		}
+		if len(rows) < historyPage {
+			return out, nil
+		}
+	}
+}
+
+// ConflictError says that another operator published meanwhile.
+type ConflictError struct {
+	base  uint64
+	other register.Record
+}
+
+// Base returns the version that the document was based on.
+func (e *ConflictError) Base() uint64 { return e.base }
+
+// Other returns the record that stands in the way.
+func (e *ConflictError) Other() register.Record { return e.other }
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("conflict: the document was based on version %d, but version %d was published by %s (%s)",
+		e.base, e.other.Head().Version(), e.other.Author(), e.other.Reason())
+}
+
+// UndecidedError says that nobody could tell whether the version is accepted.
+type UndecidedError struct{ cause error }
+
+// Unwrap returns the cause.
+func (e *UndecidedError) Unwrap() error { return e.cause }
+
+// Error implements error.
+func (e *UndecidedError) Error() string {
+	return fmt.Sprintf("not known whether the version was accepted: %v; look at the history", e.cause)
+}
+
+// publication is what an operator wants to publish.
+type publication struct {
+	fleet  *vanillalug.Fleet
+	base   headRow
+	next   uint64
+	author string
+	reason string
+}
+
+// publish writes the document and then the record of the next version and the
+// head row in one transaction.
+func (v *versions) publish(ctx context.Context, p publication) (register.Head, error) {
+	head := register.NewHead(p.next, p.fleet.Digest(), rand.Text())
+	record := register.NewRecord(head, p.base.record.Head().Version(),
+		register.WithAuthor(p.author), register.WithReason(p.reason),
+		register.WithTime(time.Now().UTC()), register.WithRulesLevel(p.fleet.RulesLevel()))
+	if err := v.putDocument(ctx, head, p.fleet); err != nil {
+		return head, err
+	}
+	decision := register.NewPublishing(record)
+	effects := decision.Handle(register.PublishBegun{})
+	for {
+		var next register.PublishEvent
+		for _, e := range effects {
+			switch e := e.(type) {
+			case register.WriteRecord:
+				next = v.writeRecord(ctx, e.Record, p.base)
+			case register.ReadRecord:
+				next = v.readRecord(ctx, e.Version)
+			case register.Published:
+				return e.Head, nil
+			case register.Conflict:
+				return head, &ConflictError{base: p.base.record.Head().Version(), other: e.Other}
+			case register.Undecided:
+				return head, &UndecidedError{cause: e.Err}
+			}
+		}
+		effects = decision.Handle(next)
+	}
+}
+
+// putDocument stores the document until the store has taken it. Documents are
+// named by their digest, so that storing one twice does no harm.
+func (v *versions) putDocument(ctx context.Context, h register.Head, f *vanillalug.Fleet) error {
+	for {
+		err := v.store.PutObject(ctx, register.DocumentKey(h.Digest()), f.Canonical())
+		if err == nil {
+			return nil
+		}
+		if !pause(ctx) {
+			return fmt.Errorf("versions.putDocument: nothing was published: %w", err)
+		}
+	}
+}
+
+func (v *versions) writeRecord(ctx context.Context, r register.Record, base headRow) register.PublishEvent {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return register.RecordUnreadable{Err: err}
+	}
+	var onHead platform.Condition = platform.Absent{}
+	if base.revision > 0 {
+		onHead = platform.AtRevision{Revision: base.revision}
+	}
+	err = v.store.Transact(ctx, []platform.Write{
+		platform.NewWrite(register.VersionKey(r.Head().Version()), raw, platform.Absent{}),
+		platform.NewWrite(register.HeadKey, raw, onHead),
+	})
+	var conflict *platform.ConflictError
+	switch {
+	case err == nil:
+		return register.RecordWritten{}
+	case errors.As(err, &conflict):
+		return register.RecordRefused{}
+	}
+	return register.RecordLost{}
+}
+
+// readRecord reads the record that holds the number, and the head row in case
+// the number itself is free.
+func (v *versions) readRecord(ctx context.Context, version uint64) register.PublishEvent {
+	for {
+		r, err := v.record(ctx, version)
+		var missing *platform.NotFoundError
+		switch {
+		case err == nil:
+			return register.RecordRead{Found: true, Record: r}
+		case errors.As(err, &missing):
+			return v.readHead(ctx, version)
+		case !pause(ctx):
+			return register.RecordUnreadable{Err: err}
+		}
+	}
+}
+
+// readHead tells a free number from one that a newer head has passed.
+func (v *versions) readHead(ctx context.Context, version uint64) register.PublishEvent {
+	h, err := v.head(ctx)
+	if err == nil && h.record.Head().Version() >= version {
+		return register.RecordRead{Found: true, Record: h.record}
+	}
+	if !pause(ctx) {
+		return register.RecordUnreadable{Err: fmt.Errorf("versions.readHead: %w", errors.Join(err, ctx.Err()))}
+	}
+	return register.RecordRead{}
+}
+
+// pause waits a moment and reports whether there is time left.
+func pause(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(retryPause):
+		return true
+	}
+}
--- a/roster/event.go
+++ b/roster/event.go
@@ -28,6 +28,9 @@
 // Leave says that this router is leaving.
 type Leave struct{}
 
+// Left says that this router has finished leaving and ends now.
+type Left struct{}
+
 func (Tick) rosterEvent()               {}
 func (Heard) rosterEvent()              {}
 func (Answered) rosterEvent()           {}
@@ -35,3 +38,4 @@
 func (UnansweredIndirect) rosterEvent() {}
 func (Listed) rosterEvent()             {}
 func (Leave) rosterEvent()              {}
+func (Left) rosterEvent()               {}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -55,7 +55,9 @@
 	case Listed:
 		return r.listed(now, e.Members)
 	case Leave:
-		return r.leave(now)
+		return r.leave(now, Leaving)
+	case Left:
+		return r.leave(now, Gone)
 	}
 	return nil
 }
@@ -365,12 +367,12 @@
 	return out
 }
 
-func (r *Roster) leave(now time.Time) []Effect {
-	if r.self.state == Leaving {
+func (r *Roster) leave(now time.Time, to State) []Effect {
+	if r.self.state >= to {
 		return nil
 	}
 	from := r.self.state
-	r.self.state = Leaving
+	r.self.state = to
 	r.self.since = now
 	r.news.add(r.self.name)
 	return []Effect{Changed{Member: r.self, From: from}}
