Bound the detection of dead routers and stop false deaths

Two reasons: probes in random order leave a member unprobed for several intervals, and a suspected member heard of it only by chance, so that its refutation came after the deadline. Ruled out: a longer suspicion, which makes detection worse; indirect probes through two members are not enough at 5% loss (3.4% of them fail both). Change: every second probe goes to the member next by name; the router that raises a suspicion probes the suspect again at once and every tick; indirect probes go through three; timeouts 400, 500 and 1,200 ms.

--- a/cmd/router/courier/http_engine.go
+++ b/cmd/router/courier/http_engine.go
@@ -78,7 +78,7 @@
 // first byte of the body.
 func (e *HTTPEngine) open(r *http.Request, cancel context.CancelFunc, bound time.Duration, request string, offset int) (Stream, error) {
 	timer := time.AfterFunc(bound, cancel)
-	w, err := e.streams.DoRequest(r)
+	w, err := e.streams.DoRequest(r) //nolint:bodyclose // The stream closes it.
 	if !timer.Stop() && err != nil {
 		e.streams.ForgetConnections()
 		return nil, &SilentError{bound: bound}
--- a/cmd/router/courier/peer.go
+++ b/cmd/router/courier/peer.go
@@ -117,7 +117,7 @@
 	r.Header.Set("Authorization", "Bearer "+p.key)
 	r.Header.Set(RelayHeader, string(meta))
 	timer := time.AfterFunc(p.idle, cancel)
-	w, err := p.streams.DoRequest(r)
+	w, err := p.streams.DoRequest(r) //nolint:bodyclose // The stream closes it.
 	if !timer.Stop() && err != nil {
 		p.streams.ForgetConnections()
 		return nil, &SilentError{bound: p.idle}
--- a/cmd/router/handlers/peers.go
+++ b/cmd/router/handlers/peers.go
@@ -82,8 +82,7 @@
 // GetDocument implements peer.Peer.
 func (p *Peers) GetDocument(context.Context, *peer.GetDocumentRequest) (*peer.GetDocumentReply, error) {
 	h, text := p.office.Document()
-	head := &peer.Head{Version: h.Version(), Digest: h.Digest(), Publication: h.Publication()}
-	return &peer.GetDocumentReply{Head: head, Text: text}, nil
+	return &peer.GetDocumentReply{Head: peer.NewHead(h), Text: text}, nil
 }
 
 // GetStatus implements peer.Peer.
--- a/cmd/router/office/configuration.go
+++ b/cmd/router/office/configuration.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/peer"
 	"vanillalug.example/platform"
 	"vanillalug.example/register"
 )
@@ -84,9 +85,8 @@
 	if err != nil || w.GetHead().GetVersion() < want.Version() {
 		return false
 	}
-	h := w.GetHead()
-	head := register.NewHead(h.GetVersion(), h.GetDigest(), h.GetPublication())
-	o.carryRegister(o.register.Handle(register.Fetched{Head: head, Text: w.GetText()}))
+	fetched := register.Fetched{Head: peer.RegisterHead(w.GetHead()), Text: w.GetText()}
+	o.carryRegister(o.register.Handle(fetched))
 	return true
 }
 
--- a/cmd/router/office/journal.go
+++ b/cmd/router/office/journal.go
@@ -40,13 +40,11 @@
 	pending  []pendingRow
 }
 
-// pendingRow is a row that is still to be written over a claim. Revision 0
-// says that the row has to be read first.
+// pendingRow is a row that is still to be amended.
 type pendingRow struct {
-	claim    ledger.Claim
-	revision uint64
-	delay    time.Duration
-	due      time.Time
+	amendment *ledger.Amendment
+	delay     time.Duration
+	due       time.Time
 }
 
 func newJournal(clock schedule.Clock, table platform.Table, log hclog.Logger) *journal {
@@ -62,15 +60,7 @@
 	}
 	ctx, done := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 	defer done()
-	raw, err := json.Marshal(e.Claim)
-	if err != nil {
-		return ledger.ClaimNotWritten{}
-	}
-	var condition platform.Condition = platform.Absent{}
-	if e.Revision > 0 {
-		condition = platform.AtRevision{Revision: e.Revision}
-	}
-	result, err := j.writer.write(ctx, platform.NewWrite(e.Claim.TableKey(), raw, condition))
+	result, err := j.write(ctx, e.Claim, e.Revision)
 	if err != nil {
 		return j.claimFailed(err)
 	}
@@ -121,12 +111,12 @@
 
 // record writes an outcome over its claim, again until it is written.
 func (j *journal) record(c ledger.Claim, revision uint64) {
-	j.add(pendingRow{claim: c, revision: revision})
+	j.add(pendingRow{amendment: ledger.NewAmendment(c, revision)})
 }
 
 // withdraw releases a claim that was not dispatched, wherever it turns up.
 func (j *journal) withdraw(c ledger.Claim) {
-	j.add(pendingRow{claim: c})
+	j.add(pendingRow{amendment: ledger.NewAmendment(c, 0)})
 }
 
 func (j *journal) add(row pendingRow) {
@@ -180,7 +170,7 @@
 func (j *journal) flushRow(row pendingRow) {
 	ctx, done := background(flushTimeout)
 	defer done()
-	if j.writeRow(ctx, row) {
+	if j.amend(ctx, row.amendment) {
 		return
 	}
 	row.delay = min(max(2*row.delay, firstRowDelay), lastRowDelay)
@@ -190,51 +180,58 @@
 	j.mu.Unlock()
 }
 
-// writeRow reports whether nothing is left to do for the row.
-func (j *journal) writeRow(ctx context.Context, row pendingRow) bool {
-	raw, err := json.Marshal(row.claim)
-	if err != nil {
-		return true
-	}
-	condition, open, err := j.rowCondition(ctx, row)
-	if err != nil {
-		return false
-	}
-	if !open {
-		return true
-	}
-	result, err := j.writer.write(ctx, platform.NewWrite(row.claim.TableKey(), raw, condition))
-	if err != nil {
-		return false
-	}
-	if !result.Written() {
-		return !j.isOwnClaim(result.Current(), row.claim)
+// amend makes one attempt and reports whether nothing is left to do.
+func (j *journal) amend(ctx context.Context, a *ledger.Amendment) bool {
+	effect := a.Handle(ledger.AmendBegun{})
+	for {
+		switch e := effect.(type) {
+		case ledger.ReadRow:
+			effect = a.Handle(j.readRow(ctx, e.Key))
+		case ledger.WriteRow:
+			effect = a.Handle(j.writeRow(ctx, e))
+		case ledger.AmendDone:
+			meter.Count("journal_rows", "state", string(a.Claim().State()))
+			return true
+		default:
+			return false
+		}
 	}
-	meter.Count("journal_rows", "state", string(row.claim.State()))
-	return true
 }
 
-// rowCondition returns the condition to write a row under; open says whether
-// there is still something to write.
-func (j *journal) rowCondition(ctx context.Context, row pendingRow) (condition platform.Condition, open bool, err error) {
-	if row.revision > 0 && row.delay == 0 {
-		return platform.AtRevision{Revision: row.revision}, true, nil
-	}
-	current, err := j.table.Get(ctx, row.claim.TableKey())
-	var missing *platform.NotFoundError
-	if errors.As(err, &missing) {
-		return platform.Absent{}, true, nil
+func (j *journal) readRow(ctx context.Context, key string) ledger.AmendEvent {
+	switch e := j.read(ctx, key).(type) {
+	case ledger.ClaimExists:
+		return ledger.RowFound{Claim: e.Claim, Revision: e.Revision}
+	case ledger.ClaimAbsent:
+		return ledger.RowMissing{}
+	default:
+		return ledger.RowFailed{}
 	}
-	if err != nil {
-		return nil, false, err
+}
+
+func (j *journal) writeRow(ctx context.Context, e ledger.WriteRow) ledger.AmendEvent {
+	result, err := j.write(ctx, e.Claim, e.Revision)
+	switch {
+	case err != nil:
+		return ledger.RowFailed{}
+	case !result.Written():
+		return ledger.RowRefused{}
 	}
-	return platform.AtRevision{Revision: current.Revision()}, j.isOwnClaim(current, row.claim), nil
+	return ledger.RowWritten{}
 }
 
-// isOwnClaim reports whether the row still is the open claim of the attempt.
-func (j *journal) isOwnClaim(row platform.Row, c ledger.Claim) bool {
-	exists, ok := claimEvent(row).(ledger.ClaimExists)
-	return ok && exists.Claim.State() == ledger.Claimed && exists.Claim.Attempt() == c.Attempt()
+// write writes a claim over the row at the revision, or where there is none
+// for revision 0.
+func (j *journal) write(ctx context.Context, c ledger.Claim, revision uint64) (platform.Result, error) {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return platform.Result{}, platform.NewUnavailableError("write", false, err)
+	}
+	var condition platform.Condition = platform.Absent{}
+	if revision > 0 {
+		condition = platform.AtRevision{Revision: revision}
+	}
+	return j.writer.write(ctx, platform.NewWrite(c.TableKey(), raw, condition))
 }
 
 func (j *journal) isOut() bool {
--- a/cmd/router/office/membership.go
+++ b/cmd/router/office/membership.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	probeTimeout    = 400 * time.Millisecond
-	indirectTimeout = 800 * time.Millisecond
-	// loadsPerMessage is the number of loads in each message between routers.
-	loadsPerMessage = 32
 	// leaveMessages is the number of peers that are told at once of leaving.
 	leaveMessages = 4
 )
@@ -85,7 +81,7 @@
 }
 
 func (o *Office) probe(m roster.Member) {
-	ctx, done := background(probeTimeout)
+	ctx, done := background(roster.ProbeTimeout)
 	defer done()
 	g, err := o.peers.Probe(ctx, m.Address(), o.gossip(m.Name()))
 	if err != nil {
@@ -99,12 +95,12 @@
 
 // probeThrough asks others to probe a member that did not answer.
 func (o *Office) probeThrough(e roster.ProbeThrough) {
-	ctx, done := background(indirectTimeout)
+	ctx, done := background(roster.IndirectTimeout)
 	defer done()
 	answers := make(chan *peer.ProbeOtherReply, len(e.Others))
 	for _, other := range e.Others {
 		go func() {
-			w, err := o.peers.ProbeOther(ctx, other.Address(), memberBody(e.Member))
+			w, err := o.peers.ProbeOther(ctx, other.Address(), peer.NewMember(e.Member))
 			if err != nil {
 				w = &peer.ProbeOtherReply{}
 			}
@@ -123,7 +119,7 @@
 
 // ProbeOther probes a third router for a peer.
 func (o *Office) ProbeOther(ctx context.Context, m *peer.Member) *peer.ProbeOtherReply {
-	ctx, done := context.WithTimeout(ctx, probeTimeout)
+	ctx, done := context.WithTimeout(ctx, roster.ProbeTimeout)
 	defer done()
 	g, err := o.peers.Probe(ctx, m.GetAddress(), o.gossip(m.GetName()))
 	if err != nil {
@@ -140,40 +136,15 @@
 
 // Heard takes a peer's gossip.
 func (o *Office) Heard(g *peer.Gossip) {
-	now := o.clock.Now()
-	updates := make([]roster.Member, 0, len(g.GetMembers()))
-	for _, b := range g.GetMembers() {
-		m := roster.NewMember(b.GetName(), b.GetAddress(), b.GetPlace(), b.GetIncarnation())
-		updates = append(updates, m.WithState(roster.State(min(b.GetState(), uint32(roster.Gone)))))
-	}
-	o.carryRoster(o.roster.Handle(roster.Heard{From: g.GetFrom(), Updates: updates}))
-	for _, b := range g.GetLoads() {
-		at := now.Add(-time.Duration(b.GetAgeMs()) * time.Millisecond)
-		condition := dispatch.Condition(min(b.GetCondition(), uint32(dispatch.Leaving)))
-		o.loads.Put(dispatch.NewLoad(b.GetTarget(), int(b.GetInFlight()), condition, at))
-	}
-	if h := g.GetHead(); h.GetVersion() > 0 {
-		head := register.NewHead(h.GetVersion(), h.GetDigest(), h.GetPublication())
+	o.carryRoster(g.Take(o.roster, o.loads, o.clock.Now()))
+	if head := peer.RegisterHead(g.GetHead()); head.Version() > 0 {
 		o.carryRegister(o.register.Handle(register.HeadHeard{Peer: g.GetFrom(), Head: head}))
 	}
 }
 
 // gossip returns what a message to a peer carries.
 func (o *Office) gossip(to string) *peer.Gossip {
-	g := &peer.Gossip{From: o.name, Head: headBody(o.register.Head())}
-	for _, m := range o.roster.Updates(to) {
-		g.Members = append(g.Members, memberBody(m))
-	}
-	now := o.clock.Now()
-	for _, l := range o.loads.Sample(loadsPerMessage, now, rand.IntN) {
-		g.Loads = append(g.Loads, &peer.Load{
-			Target:    l.Target(),
-			InFlight:  uint32(l.InFlight()),
-			Condition: uint32(l.Condition()),
-			AgeMs:     uint32(now.Sub(l.At()).Milliseconds()),
-		})
-	}
-	return g
+	return peer.NewGossip(o.roster, o.loads, o.register.Head(), to, o.clock.Now(), rand.IntN)
 }
 
 // tell carries out an event about this router itself and tells some peers at
@@ -192,17 +163,3 @@
 	}
 	wg.Wait()
 }
-
-func memberBody(m roster.Member) *peer.Member {
-	return &peer.Member{
-		Name:        m.Name(),
-		Address:     m.Address(),
-		Place:       m.Place(),
-		Incarnation: m.Incarnation(),
-		State:       uint32(m.State()),
-	}
-}
-
-func headBody(h register.Head) *peer.Head {
-	return &peer.Head{Version: h.Version(), Digest: h.Digest(), Publication: h.Publication()}
-}
--- a/cmd/router/office/office.go
+++ b/cmd/router/office/office.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,8 +47,6 @@
 	leaving atomic.Bool
 	serial  atomic.Uint64
 	begun   time.Time
-	mu      sync.Mutex
-	held    map[string]bool
 }
 
 type options struct {
@@ -107,7 +104,6 @@
 		loads:    dispatch.NewLoadView(),
 		budget:   allowance.NewBudget(),
 		begun:    now,
-		held:     map[string]bool{},
 	}
 	f.journal = newJournal(out.Clock, out.Table, out.Log.Named("journal"))
 	f.registerGauges()
--- a/cmd/router/office/once.go
+++ b/cmd/router/office/once.go
@@ -149,8 +149,7 @@
 	case ledger.Ran:
 		return ranAnswer(v)
 	case ledger.NotRun:
-		return Answer{}, vanillalug.NewProblem(http.StatusServiceUnavailable, string(v.Cause),
-			"the call was not run", vanillalug.WithRetryAfter(r.office.spread(shortRetry)))
+		return Answer{}, r.notRun(v)
 	case ledger.MayHaveRun:
 		return Answer{}, vanillalug.NewProblem(http.StatusConflict, "outcome-unknown",
 			"the call with this key may have been run; its outcome is not recorded",
@@ -162,6 +161,14 @@
 	}
 }
 
+func (r *onceRun) notRun(v ledger.NotRun) *vanillalug.Problem {
+	opts := []vanillalug.ProblemOption{vanillalug.WithRetryAfter(r.office.spread(shortRetry))}
+	if v.Earlier {
+		opts = append(opts, vanillalug.WithEarlier(vanillalug.Unknown))
+	}
+	return vanillalug.NewProblem(http.StatusServiceUnavailable, string(v.Cause), "the call was not run", opts...)
+}
+
 func ranAnswer(v ledger.Ran) (Answer, *vanillalug.Problem) {
 	out := v.Outcome
 	if out.Status() == 0 || out.BodyLeftOut() && v.Replayed {
--- a/ledger/call.go
+++ b/ledger/call.go
@@ -91,7 +91,7 @@
 	case ClaimExists:
 		return c.exists(e)
 	case ClaimNotWritten:
-		return c.end(NotRun{Cause: TableOut})
+		return c.end(NotRun{Cause: TableOut, Earlier: true})
 	case ClaimLost:
 		c.state = stateReading
 		return []Effect{ReadClaim{Key: c.claim.TableKey()}}
@@ -105,8 +105,10 @@
 	switch e := ev.(type) {
 	case ClaimExists:
 		return c.exists(e)
-	case ClaimAbsent, ClaimUnreadable:
-		return c.withdraw(TableOut)
+	case ClaimAbsent:
+		return c.withdraw(NotRun{Cause: TableOut})
+	case ClaimUnreadable:
+		return c.withdraw(NotRun{Cause: TableOut, Earlier: true})
 	}
 	return nil
 }
@@ -166,7 +168,7 @@
 func (c *Call) confirmed(revision uint64) []Effect {
 	c.revision = revision
 	if !c.MayDispatch() {
-		return c.withdraw(PausedOut)
+		return c.withdraw(NotRun{Cause: PausedOut})
 	}
 	c.state = stateSent
 	return []Effect{Dispatch{}}
@@ -183,16 +185,16 @@
 		if !c.MayDispatch() {
 			cause = PausedOut
 		}
-		return c.withdraw(cause)
+		return c.withdraw(NotRun{Cause: cause})
 	case Cut:
 		return c.doubt(c.claim, c.revision)
 	}
 	return nil
 }
 
-func (c *Call) withdraw(cause Cause) []Effect {
+func (c *Call) withdraw(v NotRun) []Effect {
 	c.state = stateEnded
-	return []Effect{Reply{Verdict: NotRun{Cause: cause}}, Withdraw{Claim: c.claim.released()}}
+	return []Effect{Reply{Verdict: v}, Withdraw{Claim: c.claim.released()}}
 }
 
 func (c *Call) end(v Verdict) []Effect {
--- a/ledger/verdict.go
+++ b/ledger/verdict.go
@@ -9,8 +9,12 @@
 	Replayed bool
 }
 
-// NotRun says that the call was not run, with proof.
-type NotRun struct{ Cause Cause }
+// NotRun says that this attempt was not run and never will be. Earlier says
+// that the table did not tell whether an earlier attempt with the key was run.
+type NotRun struct {
+	Cause   Cause
+	Earlier bool
+}
 
 // MayHaveRun says that nobody can tell yet whether the call was run.
 type MayHaveRun struct{ Claim Claim }
--- a/problem.go
+++ b/problem.go
@@ -17,6 +17,7 @@
 	field      string
 	runState   RunState
 	retryAfter time.Duration
+	earlier    RunState
 }
 
 // ProblemOption changes a new Problem.
@@ -37,6 +38,12 @@
 	return func(p *Problem) { p.retryAfter = d }
 }
 
+// WithEarlier states the run state of earlier attempts with the same key,
+// where it is not that of this one.
+func WithEarlier(s RunState) ProblemOption {
+	return func(p *Problem) { p.earlier = s }
+}
+
 // NewProblem returns a problem with an HTTP status, a stable code in kebab
 // case and a sentence for people.
 func NewProblem(status int, code, detail string, opts ...ProblemOption) *Problem {
@@ -65,6 +72,9 @@
 // RetryAfter returns when to come back, or 0 for no advice.
 func (p *Problem) RetryAfter() time.Duration { return p.retryAfter }
 
+// Earlier returns the run state of earlier attempts with the same key, or "".
+func (p *Problem) Earlier() RunState { return p.earlier }
+
 // Error implements error.
 func (p *Problem) Error() string {
 	return fmt.Sprintf("%s (%d, %s): %s", p.code, p.status, p.runState, p.detail)
@@ -78,6 +88,7 @@
 	Field    string   `json:"field,omitempty"`
 	RunState RunState `json:"run-state"`
 	RetryMS  int64    `json:"retry-after-ms,omitempty"`
+	Earlier  RunState `json:"earlier-attempts,omitempty"`
 }
 
 // MarshalJSON implements json.Marshaler.
@@ -90,6 +101,7 @@
 		Field:    p.field,
 		RunState: p.runState,
 		RetryMS:  p.retryAfter.Milliseconds(),
+		Earlier:  p.earlier,
 	})
 }
 
@@ -106,6 +118,7 @@
 		field:      b.Field,
 		runState:   b.RunState,
 		retryAfter: time.Duration(b.RetryMS) * time.Millisecond,
+		earlier:    b.Earlier,
 	}
 	return nil
 }
--- a/roster/member.go
+++ b/roster/member.go
@@ -11,6 +11,7 @@
 	state       State
 	since       time.Time
 	doubtful    bool
+	raisedHere  bool
 	deadline    time.Time
 }
 
--- a/roster/option.go
+++ b/roster/option.go
@@ -5,10 +5,12 @@
 // The default timing of the membership protocol.
 const (
 	ProbeInterval     = 500 * time.Millisecond
-	SuspicionTimeout  = 1500 * time.Millisecond
+	ProbeTimeout      = 400 * time.Millisecond
+	IndirectTimeout   = 500 * time.Millisecond
+	SuspicionTimeout  = 1200 * time.Millisecond
 	PauseLimit        = 1500 * time.Millisecond
 	goneRetention     = 10 * time.Minute
-	indirectProbers   = 2
+	indirectProbers   = 3
 	updatesPerMessage = 8
 	retransmitFactor  = 3
 )
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -21,6 +21,7 @@
 	round    []string
 	news     newsQueue
 	lastTick time.Time
+	ticks    uint64
 	certain  bool
 }
 
@@ -143,12 +144,42 @@
 	}
 	r.lastTick = now
 	out = append(out, r.expire(now)...)
-	if m, ok := r.nextToProbe(); ok {
-		out = append(out, Probe{Member: m})
-	} else {
+	out = append(out, r.askSuspects()...)
+	r.ticks++
+	m, ok := r.nextToProbe()
+	if next, found := r.successor(); found && r.ticks%2 == 0 {
+		m = next
+	}
+	if !ok {
 		r.certain = true
+		return out
 	}
-	return out
+	return append(out, Probe{Member: m})
+}
+
+// successor returns the member whose name follows this router's. Every member
+// is some router's successor and is therefore probed every other tick.
+func (r *Roster) successor() (Member, bool) {
+	first, next := "", ""
+	for name, m := range r.peers {
+		if m.state == Gone {
+			continue
+		}
+		if first == "" || name < first {
+			first = name
+		}
+		if name > r.self.name && (next == "" || name < next) {
+			next = name
+		}
+	}
+	if next == "" {
+		next = first
+	}
+	m, ok := r.peers[next]
+	if !ok {
+		return Member{}, false
+	}
+	return *m, true
 }
 
 // paused forgets every suspicion, since the missing answers may be this
@@ -183,6 +214,23 @@
 	return out
 }
 
+// askSuspects probes again the members that this router suspects itself. The
+// probe says that they are suspected, so that they can refute at once.
+func (r *Roster) askSuspects() []Effect {
+	var names []string
+	for name, m := range r.peers {
+		if m.raisedHere && m.state == Suspect {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var out []Effect
+	for _, name := range names {
+		out = append(out, Probe{Member: *r.peers[name]})
+	}
+	return out
+}
+
 // nextToProbe goes through all peers in random order before it starts again.
 func (r *Roster) nextToProbe() (Member, bool) {
 	for range 2 {
@@ -251,6 +299,7 @@
 	m := u
 	m.since = now
 	m.doubtful = false
+	m.raisedHere = false
 	m.deadline = time.Time{}
 	r.peers[u.name] = &m
 	r.news.add(u.name)
@@ -276,6 +325,7 @@
 	}
 	m.since = now
 	m.doubtful = false
+	m.raisedHere = false
 	m.deadline = time.Time{}
 	if m.state == Suspect {
 		m.deadline = now.Add(r.opts.suspicion)
@@ -329,7 +379,9 @@
 	}
 	switch m.state {
 	case Alive:
-		return []Effect{r.set(now, m, m.WithState(Suspect))}
+		changed := r.set(now, m, m.WithState(Suspect))
+		m.raisedHere = true
+		return []Effect{changed, Probe{Member: *m}}
 	case Leaving:
 		if !m.doubtful {
 			m.doubtful = true
