--- /dev/null
+++ b/dispatch/dispatch_test.go
@@ -0,0 +1,206 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"vanillalug.example"
+	"vanillalug.example/lugtest"
+	"vanillalug.example/schedule"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func TestKeeper(t *testing.T) {
+	const chat = vanillalug.ChatKey(1)
+	returning := Asked{Chat: chat, Returning: true, Next: "e2"}
+	tests := map[string]struct {
+		before []Event
+		ask    Asked
+		want   Effect
+	}{
+		"new chat":                     {nil, Asked{Chat: chat, Next: "e2"}, Here{}},
+		"unknown while incomplete":     {nil, returning, Here{}},
+		"unknown while complete":       {[]Event{CacheSynced{}}, returning, At{Engine: "e2", Inherit: true}},
+		"served here before":           {[]Event{CacheSynced{}, Settled{chat}}, returning, Here{}},
+		"sent elsewhere before":        {[]Event{Sent{chat, "e3"}}, returning, At{Engine: "e3"}},
+		"other engine is gone":         {[]Event{Sent{chat, "e3"}, EngineGone{"e3"}}, returning, Here{}},
+		"cached by event":              {[]Event{CacheSynced{}, CacheChanged{1, []CacheChange{{chat, true}}}}, returning, Here{}},
+		"evicted by event":             {[]Event{CacheSynced{Chats: []vanillalug.ChatKey{chat}}, CacheChanged{1, []CacheChange{{chat, false}}}}, returning, At{Engine: "e2", Inherit: true}},
+		"engine lost its cache":        {[]Event{CacheSynced{}, Settled{chat}, EngineRestarted{}}, returning, Here{}},
+		"inherited but unknown":        {[]Event{CacheSynced{}}, Asked{Chat: chat, Returning: true, Inherited: true, Home: "e1"}, At{Engine: "e1"}},
+		"inherited and known":          {[]Event{CacheSynced{}, Settled{chat}}, Asked{Chat: chat, Returning: true, Inherited: true, Home: "e1"}, Here{}},
+		"final":                        {[]Event{Sent{chat, "e3"}}, Asked{Chat: chat, Final: true}, Here{}},
+		"only engine":                  {[]Event{CacheSynced{}}, Asked{Chat: chat, Returning: true}, Here{}},
+		"unknown, asked a second time": {[]Event{CacheSynced{}, returning}, returning, At{Engine: "e2"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			k := NewKeeper(100)
+			for _, ev := range tt.before {
+				k.Handle(ev)
+			}
+			require.Equal(t, []Effect{tt.want}, k.Handle(tt.ask))
+		})
+	}
+}
+
+func TestCacheEventsWithAGapAskForAResync(t *testing.T) {
+	k := NewKeeper(100)
+	require.Equal(t, []Effect{Resync{}}, k.Handle(CacheChanged{First: 1}))
+	k.Handle(CacheSynced{Last: 10})
+	require.Empty(t, k.Handle(CacheChanged{First: 9, Changes: make([]CacheChange, 3)}))
+	require.Equal(t, []Effect{Resync{}}, k.Handle(CacheChanged{First: 13, Changes: make([]CacheChange, 1)}))
+	require.False(t, k.Complete())
+}
+
+func TestKeeperStaysWithinItsSize(t *testing.T) {
+	k := NewKeeper(1000)
+	for i := range 100000 {
+		k.Handle(Settled{Chat: vanillalug.ChatKey(i)})
+		k.Handle(Asked{Chat: 7, Returning: true})
+	}
+	require.LessOrEqual(t, k.Len(), 1000)
+	k.Handle(CacheSynced{})
+	require.Equal(t, []Effect{Here{}}, k.Handle(Asked{Chat: 7, Returning: true, Next: "e2"}), "a chat in use is kept")
+}
+
+// TestRouteEnds lets admitting routers answer anything: every request comes
+// to an end within a few hops, never asks an engine that failed, and the last
+// hop is marked.
+func TestRouteEnds(t *testing.T) {
+	lugtest.Check(t, "500", "30", func(t *rapid.T) {
+		var ranked []string
+		for i := range rapid.IntRange(0, 6).Draw(t, "engines") {
+			ranked = append(ranked, fmt.Sprintf("e%d", i))
+		}
+		r := NewRoute(ranked, "")
+		failed := map[string]bool{}
+		for hops := 0; ; hops++ {
+			h, ok := r.Hop()
+			if !ok {
+				require.Len(t, failed, len(ranked))
+				return
+			}
+			require.Less(t, hops, maxHops+len(ranked)+1)
+			require.False(t, failed[h.Engine()])
+			require.Equal(t, hops >= maxHops-1, h.Last())
+			require.NotContains(t, r.Alternatives(), h.Engine())
+			switch rapid.SampledFrom([]string{"serve", "cached", "inherit", "spill", "fail"}).Draw(t, "answer") {
+			case "serve":
+				return
+			case "fail":
+				failed[h.Engine()] = true
+				r.Fail()
+			default:
+				if h.Last() {
+					return
+				}
+				others := r.Alternatives()
+				if len(others) == 0 {
+					failed[h.Engine()] = true
+					r.Fail()
+					continue
+				}
+				followOrSpill(t, r, others)
+			}
+		}
+	})
+}
+
+func followOrSpill(t *rapid.T, r *Route, others []string) {
+	if rapid.Bool().Draw(t, "spill") {
+		r.Spill(rapid.SampledFrom(others).Draw(t, "to"))
+		return
+	}
+	r.Follow(At{Engine: rapid.SampledFrom(others).Draw(t, "at"), Inherit: rapid.Bool().Draw(t, "inherit")})
+}
+
+func TestHealth(t *testing.T) {
+	tests := map[string]struct {
+		run  func(h *Health, c *schedule.Fake)
+		want Condition
+	}{
+		"new":         {func(*Health, *schedule.Fake) {}, Up},
+		"one failure": {func(h *Health, _ *schedule.Fake) { h.Failed() }, Up},
+		"two failures": {func(h *Health, _ *schedule.Fake) {
+			h.Failed()
+			h.Failed()
+		}, Down},
+		"back at once": {func(h *Health, _ *schedule.Fake) {
+			h.Failed()
+			h.Failed()
+			h.Answered()
+		}, Down},
+		"back for long enough": {func(h *Health, c *schedule.Fake) {
+			h.Failed()
+			h.Failed()
+			answerFor(h, c, 3*time.Second)
+		}, Up},
+		"flapping stays out longer": {func(h *Health, c *schedule.Fake) {
+			for range 4 {
+				h.Failed()
+				h.Failed()
+				answerFor(h, c, 3*time.Second)
+			}
+		}, Down},
+		"leaving by the list": {func(h *Health, _ *schedule.Fake) { h.SetLeaving(ByPlatform, true) }, Leaving},
+		"list takes it back":  {func(h *Health, _ *schedule.Fake) { h.SetLeaving(ByPlatform, true); h.SetLeaving(ByPlatform, false) }, Leaving},
+		"list takes it back for good": {func(h *Health, c *schedule.Fake) {
+			h.SetLeaving(ByPlatform, true)
+			h.SetLeaving(ByPlatform, false)
+			c.Advance(leaveHold)
+		}, Up},
+		"document takes it back": {func(h *Health, _ *schedule.Fake) { h.SetLeaving(ByDocument, true); h.SetLeaving(ByDocument, false) }, Up},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			clock := schedule.NewFake(start)
+			h := NewHealth(clock)
+			tt.run(h, clock)
+			require.Equal(t, tt.want, h.Condition())
+		})
+	}
+}
+
+func answerFor(h *Health, c *schedule.Fake, d time.Duration) {
+	const step = 100 * time.Millisecond
+	for range d / step {
+		h.Answered()
+		c.Advance(step)
+	}
+}
+
+func TestLoadView(t *testing.T) {
+	v := NewLoadView()
+	require.True(t, v.Put(NewLoad("e1", 3, Up, start.Add(time.Second))))
+	require.False(t, v.Put(NewLoad("e1", 9, Up, start)), "an older load is not taken")
+	l, ok := v.Get("e1", start.Add(2*time.Second))
+	require.True(t, ok)
+	require.Equal(t, 3, l.InFlight())
+	_, ok = v.Get("e1", start.Add(time.Minute))
+	require.False(t, ok, "a load gets too old")
+	for i := range 100 {
+		v.Put(NewLoad(fmt.Sprintf("x%d", i), i, Up, start))
+	}
+	require.Len(t, v.Sample(10, start, func(int) int { return 0 }), 10)
+}
+
+func TestOwnerMovesOnlyWhatItMust(t *testing.T) {
+	var routers []string
+	for i := range 18 {
+		routers = append(routers, fmt.Sprintf("r%d", i))
+	}
+	for i := range 100 {
+		engine := fmt.Sprintf("e%d", i)
+		owner := Owner(engine, routers)
+		if owner != routers[0] {
+			require.Equal(t, owner, Owner(engine, routers[1:]))
+		}
+	}
+	require.Empty(t, Owner("e", nil))
+}
--- a/lugtest/membership.go
+++ b/lugtest/membertest/membership.go
@@ -1,4 +1,6 @@
-package lugtest
+// Package membertest drives the membership decisions of many routers on a fake
+// clock, for tests and measurements.
+package membertest
 
 import (
 	"fmt"
@@ -43,9 +45,9 @@
 // Down reports whether the router has ended.
 func (n *Node) Down() bool { return n.down }
 
-// NewMembership returns routers that all know each other from the list. The
+// New returns routers that all know each other from the list. The
 // loss is the share of messages that are lost.
-func NewMembership(routers int, seed uint64, loss float64) *Membership {
+func New(routers int, seed uint64, loss float64) *Membership {
 	m := &Membership{
 		clock:  schedule.NewFake(time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)),
 		random: rand.New(rand.NewPCG(seed, seed+1)),
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"vanillalug.example/lugtest"
+	"vanillalug.example/lugtest/membertest"
 	"vanillalug.example/roster"
 	"vanillalug.example/schedule"
 )
@@ -17,7 +18,7 @@
 const detectionLimit = 5 * time.Second
 
 // within advances the clock until all routers believe the state of a member.
-func within(m *lugtest.Membership, name string, state roster.State, limit time.Duration) (time.Duration, bool) {
+func within(m *membertest.Membership, name string, state roster.State, limit time.Duration) (time.Duration, bool) {
 	const step = 50 * time.Millisecond
 	for d := time.Duration(0); d <= limit; d += step {
 		if _, others := m.Believed(name, state); others == 0 {
@@ -31,7 +32,7 @@
 func TestDeadRouterIsDetected(t *testing.T) {
 	worst := time.Duration(0)
 	for seed := range uint64(20) {
-		m := lugtest.NewMembership(18, seed, 0)
+		m := membertest.New(18, seed, 0)
 		m.Clock().Advance(10 * time.Second)
 		m.Kill("r007")
 		d, ok := within(m, "r007", roster.Gone, detectionLimit)
@@ -44,7 +45,7 @@
 func TestLeavingSpreads(t *testing.T) {
 	worst := time.Duration(0)
 	for seed := range uint64(20) {
-		m := lugtest.NewMembership(18, seed, 0.05)
+		m := membertest.New(18, seed, 0.05)
 		m.Clock().Advance(10 * time.Second)
 		m.Leave("r003")
 		d, ok := within(m, "r003", roster.Leaving, detectionLimit)
@@ -59,7 +60,7 @@
 func TestFalseSuspicions(t *testing.T) {
 	suspected, gone := 0, 0
 	for seed := range uint64(5) {
-		m := lugtest.NewMembership(18, seed, 0.05)
+		m := membertest.New(18, seed, 0.05)
 		m.Clock().Advance(10 * time.Minute)
 		for _, name := range m.Names() {
 			for _, c := range m.Node(name).Changes {
@@ -85,7 +86,7 @@
 }
 
 func TestPartedRegionsFindEachOther(t *testing.T) {
-	m := lugtest.NewMembership(12, 3, 0)
+	m := membertest.New(12, 3, 0)
 	m.Clock().Advance(5 * time.Second)
 	west := func(name string) bool { return name < "r006" }
 	m.Part(func(a, b string) bool { return west(a) != west(b) })
@@ -109,7 +110,7 @@
 // When it wakes it is uncertain until it has heard a peer, and comes back with
 // a higher incarnation.
 func TestFrozenRouterNotices(t *testing.T) {
-	m := lugtest.NewMembership(6, 1, 0)
+	m := membertest.New(6, 1, 0)
 	m.Clock().Advance(5 * time.Second)
 	before := m.Node("r002").Roster.Self().Incarnation()
 	m.Freeze("r002", true)
@@ -150,7 +151,7 @@
 // order remembers the last belief of each router about each other one.
 type order map[string]roster.Member
 
-func (o order) check(t *rapid.T, m *lugtest.Membership) {
+func (o order) check(t *rapid.T, m *membertest.Membership) {
 	for _, name := range m.Names() {
 		n := m.Node(name)
 		for _, other := range m.Names() {
@@ -175,7 +176,7 @@
 func TestMembershipOrder(t *testing.T) {
 	steps := 0
 	lugtest.Check(t, "60", "40", func(t *rapid.T) {
-		m := lugtest.NewMembership(6, rapid.Uint64().Draw(t, "seed"), 0)
+		m := membertest.New(6, rapid.Uint64().Draw(t, "seed"), 0)
 		o := order{}
 		name := rapid.SampledFrom(m.Names())
 		t.Repeat(map[string]func(*rapid.T){
@@ -199,7 +200,7 @@
 }
 
 // settle lets the fleet run without faults and checks that it agrees.
-func settle(t *rapid.T, m *lugtest.Membership) {
+func settle(t *rapid.T, m *membertest.Membership) {
 	m.SetLoss(0)
 	for _, name := range m.Names() {
 		m.Freeze(name, false)
