--- a/allowance/budget.go
+++ b/allowance/budget.go
@@ -10,6 +10,8 @@
 	shardCount = 16
 	// maxSaved is the largest number of retries a workspace can save up.
 	maxSaved = 20
+	// firstSaved is what a workspace has at its first request.
+	firstSaved = 5
 )
 
 // Budget holds the retry budget of every workspace. It is safe for
@@ -38,7 +40,11 @@
 	s := b.shard(workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.saved[workspace] = min(s.saved[workspace]+share, maxSaved)
+	saved, ok := s.saved[workspace]
+	if !ok {
+		saved = firstSaved
+	}
+	s.saved[workspace] = min(saved+share, maxSaved)
 }
 
 // Spend reports whether the workspace may send a retry, and counts it.
--- a/cmd/demo/stage/stage.go
+++ b/cmd/demo/stage/stage.go
@@ -223,6 +223,7 @@
 func (s *Stage) Operate(ctx context.Context, command string, args ...string) (string, error) {
 	args = append([]string{command, "-settings", filepath.Join(s.dir, "operator.ini")}, args...)
 	cmd := exec.CommandContext(ctx, filepath.Join(s.bin, "vanillalug"), args...)
+	cmd.Dir = s.dir
 	var out bytes.Buffer
 	cmd.Stdout = &out
 	cmd.Stderr = &out
--- a/cmd/load/caller/chat.go
+++ b/cmd/load/caller/chat.go
@@ -54,9 +54,11 @@
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxIdleConnsPerHost = 1024
 	t.DisableCompression = true
-	return &Caller{client: &http.Client{Transport: t}}
+	return &Caller{client: &http.Client{Transport: t, CheckRedirect: noRedirect}}
 }
 
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 type message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
--- a/cmd/router/office/chat.go
+++ b/cmd/router/office/chat.go
@@ -77,6 +77,7 @@
 	request  string
 	route    *dispatch.Route
 	sink     *tripSink
+	asked    string
 	avoid    map[string]bool
 	attempts int
 	begun    time.Time
@@ -132,7 +133,7 @@
 			meter.Count("engine_out", "reason", v.Reason)
 			t.route.Fail()
 		case AdmitterOut:
-			if p := t.nextAdmitter(ctx, hop, v); p != nil {
+			if p := t.nextAdmitter(ctx, v); p != nil {
 				return p
 			}
 		case Broken:
@@ -150,11 +151,11 @@
 	}
 	q := t.relay(hop)
 	name, address := t.admitter(hop.Engine())
+	t.asked = name
 	if name == t.office.name {
 		return t.office.Admit(ctx, q, t.sink)
 	}
-	t.sink.admitter = name
-	return t.office.relay(ctx, address, q, t.sink)
+	return t.office.relay(ctx, name, address, q, t.sink)
 }
 
 // admitter returns the router that admits for the engine, leaving out those
@@ -200,14 +201,13 @@
 
 // nextAdmitter leaves out a router that cannot admit. If the request may have
 // reached it, trying another one is a retry.
-func (t *trip) nextAdmitter(ctx context.Context, hop dispatch.Hop, v AdmitterOut) *vanillalug.Problem {
+func (t *trip) nextAdmitter(ctx context.Context, v AdmitterOut) *vanillalug.Problem {
 	meter.Count("admitter_out", "reason", v.Reason)
-	name, _ := t.admitter(hop.Engine())
-	if name == t.office.name {
+	if t.asked == t.office.name {
 		return vanillalug.NewProblem(http.StatusServiceUnavailable, "router-not-ready", v.Reason,
 			vanillalug.WithRetryAfter(t.office.spread(shortRetry)))
 	}
-	t.avoid[name] = true
+	t.avoid[t.asked] = true
 	if v.Unsent {
 		return nil
 	}
--- a/cmd/router/office/membership.go
+++ b/cmd/router/office/membership.go
@@ -74,6 +74,9 @@
 	if e.From == e.Member.State() {
 		return
 	}
+	if e.Member.State() == roster.Gone {
+		o.relays.endAll(e.Member.Name())
+	}
 	state := e.Member.State().String()
 	meter.Count("member_changes", "state", state)
 	o.log.Info("member changed", "member", e.Member.Name(), "from", e.From, "to", state,
--- a/cmd/router/office/office.go
+++ b/cmd/router/office/office.go
@@ -41,6 +41,7 @@
 	budget   *allowance.Budget
 	posts    postTable
 	targets  targetTable
+	relays   relayTable
 	journal  *journal
 	open     openCounts
 
--- a/cmd/router/office/relay.go
+++ b/cmd/router/office/relay.go
@@ -95,8 +95,20 @@
 }
 
 // relay sends the request to the admitting router at the address and takes
-// the answer from it.
-func (o *Office) relay(ctx context.Context, address string, q courier.Relay, sink Sink) Verdict {
+// the answer from it. It is given up when the router is found to be gone.
+func (o *Office) relay(ctx context.Context, name, address string, q courier.Relay, sink Sink) Verdict {
+	ctx, done := context.WithCancel(ctx)
+	defer done()
+	gone, end := o.relays.begin(name, done)
+	defer end()
+	v := o.relayTo(ctx, address, q, sink)
+	if _, left := v.(Gone); left && gone() {
+		return AdmitterOut{Reason: "gone"}
+	}
+	return v
+}
+
+func (o *Office) relayTo(ctx context.Context, address string, q courier.Relay, sink Sink) Verdict {
 	s, err := o.peers.Relay(ctx, address, q)
 	if err != nil {
 		return o.relayFailed(ctx, err)
--- /dev/null
+++ b/cmd/router/office/relay_table.go
@@ -0,0 +1,51 @@
+package office
+
+import "sync"
+
+// relayTable holds the relays that are open to each peer, so that they end
+// when the peer is found to be gone.
+type relayTable struct {
+	mu    sync.Mutex
+	peers map[string]map[*openRelay]bool
+}
+
+type openRelay struct {
+	cancel func()
+	gone   bool
+}
+
+// begin adds a relay. Gone tells whether it was ended because the peer is
+// gone; end removes it.
+func (t *relayTable) begin(peer string, cancel func()) (gone func() bool, end func()) {
+	r := &openRelay{cancel: cancel}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.peers == nil {
+		t.peers = map[string]map[*openRelay]bool{}
+	}
+	if t.peers[peer] == nil {
+		t.peers[peer] = map[*openRelay]bool{}
+	}
+	t.peers[peer][r] = true
+	gone = func() bool {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		return r.gone
+	}
+	end = func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.peers[peer], r)
+	}
+	return gone, end
+}
+
+// endAll ends the relays to a peer that is gone.
+func (t *relayTable) endAll(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for r := range t.peers[peer] {
+		r.gone = true
+		r.cancel()
+	}
+}
--- a/cmd/router/office/status.go
+++ b/cmd/router/office/status.go
@@ -9,7 +9,7 @@
 	"vanillalug.example/roster"
 )
 
-const statusTimeout = 2 * time.Second
+const statusTimeout = 1500 * time.Millisecond
 
 // Status returns what this router has in force.
 func (o *Office) Status() *peer.GetStatusReply {
--- a/cmd/router/office/trip_sink.go
+++ b/cmd/router/office/trip_sink.go
@@ -10,15 +10,14 @@
 // tripSink stands before the caller's sink. It knows how far the answer has
 // come, delivers each piece once and measures the time between them.
 type tripSink struct {
-	sink     Sink
-	clock    schedule.Clock
-	chat     Chat
-	begun    time.Time
-	last     time.Time
-	engine   string
-	admitter string
-	started  bool
-	next     int
+	sink    Sink
+	clock   schedule.Clock
+	chat    Chat
+	begun   time.Time
+	last    time.Time
+	engine  string
+	started bool
+	next    int
 }
 
 func newTripSink(sink Sink, clock schedule.Clock, chat Chat, begun time.Time) *tripSink {
--- a/cmd/vanillalug/status.go
+++ b/cmd/vanillalug/status.go
@@ -29,7 +29,9 @@
 type duration = time.Duration
 
 const (
-	statusTimeout = 5 * time.Second
+	statusTimeout = 10 * time.Second
+	// routerTimeout is how long one router may take to ask all the others.
+	routerTimeout = 3 * time.Second
 	awaitPause    = 250 * time.Millisecond
 )
 
@@ -76,6 +78,8 @@
 
 func askRouter(ctx context.Context, client *reception.Client, address, key string) (reception.FleetStatusBody, error) {
 	var s reception.FleetStatusBody
+	ctx, done := context.WithTimeout(ctx, routerTimeout)
+	defer done()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
 	if err != nil {
 		return s, err
