Compare ways to place chats on one trace

Cause: the way to place chats was chosen by thought only. Change: a driver on the decision code and a fake clock, with a trace for each deployment: joins, a crash, a restart, flaps, replaced routers, views that lag by 0.5 to 4 s.

--- /dev/null
+++ b/cmd/measure/main.go
@@ -0,0 +1,37 @@
+// Command measure makes the measurements that the documents give: placement,
+// slopes and the path through a router.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+)
+
+const usage = `measure makes the measurements that the documents give.
+
+    measure placement [flags]   compares ways to place chats, on a fake clock
+    measure slopes    [flags]   measures what docs/CAPACITY.md is worked from
+    measure path      [flags]   measures latency, throughput and memory
+
+`
+
+func main() {
+	if len(os.Args) < 2 {
+		fmt.Fprint(os.Stderr, usage)
+		os.Exit(2)
+	}
+	flags := flag.NewFlagSet(os.Args[1], flag.ExitOnError)
+	var err error
+	switch os.Args[1] {
+	case "placement":
+		err = runPlacement(flags, os.Args[2:])
+	default:
+		fmt.Fprint(os.Stderr, usage)
+		os.Exit(2)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/measure/placement/result.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Result is what one run measured after its warm-up.
+type Result struct {
+	prefix   int
+	reused   int
+	sent     int
+	refused  int
+	skews    []float64
+	waits    map[string][]time.Duration
+	bytes    map[string]float64
+	duration time.Duration
+	routers  int
+}
+
+func newResult(routers int) *Result {
+	return &Result{
+		waits: map[string][]time.Duration{}, bytes: map[string]float64{}, routers: routers, duration: length - warmUp,
+	}
+}
+
+// Reuse returns the share of the prefix tokens of returning chats that were
+// found cached.
+func (r *Result) Reuse() float64 { return float64(r.reused) / float64(max(r.prefix, 1)) }
+
+// Refused returns the share of requests that were refused.
+func (r *Result) Refused() float64 { return float64(r.refused) / float64(max(r.sent, 1)) }
+
+// Skew returns a quantile of the engine's load over the mean at admissions
+// over the floor of the bound.
+func (r *Result) Skew(q float64) float64 {
+	if len(r.skews) == 0 {
+		return 0
+	}
+	slices.Sort(r.skews)
+	return r.skews[int(q*float64(len(r.skews)-1))]
+}
+
+// Wait returns a quantile of the time in queue of a class.
+func (r *Result) Wait(class string, q float64) time.Duration {
+	w := r.waits[class]
+	if len(w) == 0 {
+		return 0
+	}
+	slices.Sort(w)
+	return w[int(q*float64(len(w)-1))]
+}
+
+// Control returns the bytes a second that one router spends on a kind of
+// control traffic.
+func (r *Result) Control(kind string) float64 {
+	return r.bytes[kind] / r.duration.Seconds() / float64(r.routers)
+}
--- /dev/null
+++ b/cmd/measure/placement_command.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"runtime"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"vanillalug.example/cmd/measure/placement"
+)
+
+// controlKinds are the kinds of control traffic in the table.
+var controlKinds = []string{"probe", "report", "cache", "credits", "memory"}
+
+func runPlacement(flags *flag.FlagSet, args []string) error {
+	seeds := flags.Uint64("seeds", 3, "number of seeds, from 1 on")
+	only := flags.String("only", "", "only cases whose name has this in it")
+	_ = flags.Parse(args)
+	for _, d := range placement.Deployments() {
+		fmt.Printf("\n%s, seeds 1 to %d\n", d.Name(), *seeds)
+		printPlacement(os.Stdout, d, *seeds, *only)
+	}
+	return nil
+}
+
+// printPlacement runs every case with every seed and prints the means, and the
+// worst of the skews.
+func printPlacement(out io.Writer, d placement.Deployment, seeds uint64, only string) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "case\treuse\tof best\tskew worst\tskew p99\trefused %\twait p99 interactive\tbatch\t")
+	for _, k := range controlKinds {
+		fmt.Fprintf(w, "%s B/s\t", k)
+	}
+	fmt.Fprintln(w, "control B/s\t")
+	cases := placement.Cases()
+	results := runAll(d, cases, seeds)
+	best := mean(results[len(cases)-1], (*placement.Result).Reuse)
+	for i, c := range cases {
+		if strings.Contains(c.Name(), only) {
+			printCase(w, c, results[i], best)
+		}
+	}
+	_ = w.Flush()
+}
+
+func printCase(w io.Writer, c placement.Case, rs []*placement.Result, best float64) {
+	reuse := mean(rs, (*placement.Result).Reuse)
+	worst := 0.0
+	for _, r := range rs {
+		worst = max(worst, r.Skew(1))
+	}
+	fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.2f\t%.2f\t%.2f\t%s\t%s\t", c.Name(), reuse, reuse/best, worst,
+		mean(rs, func(r *placement.Result) float64 { return r.Skew(0.99) }),
+		100*mean(rs, (*placement.Result).Refused), waitOf(rs, "interactive"), waitOf(rs, "batch"))
+	total := 0.0
+	for _, k := range controlKinds {
+		n := mean(rs, func(r *placement.Result) float64 { return r.Control(k) })
+		total += n
+		fmt.Fprintf(w, "%.0f\t", n)
+	}
+	fmt.Fprintf(w, "%.0f\t\n", total)
+}
+
+func waitOf(rs []*placement.Result, class string) time.Duration {
+	s := mean(rs, func(r *placement.Result) float64 { return r.Wait(class, 0.99).Seconds() })
+	return time.Duration(s * float64(time.Second)).Round(time.Millisecond)
+}
+
+func mean(rs []*placement.Result, f func(*placement.Result) float64) float64 {
+	sum := 0.0
+	for _, r := range rs {
+		sum += f(r)
+	}
+	return sum / float64(len(rs))
+}
+
+// runAll runs every case with every seed, as many at once as there are cores.
+func runAll(d placement.Deployment, cases []placement.Case, seeds uint64) [][]*placement.Result {
+	results := make([][]*placement.Result, len(cases))
+	free := make(chan struct{}, runtime.NumCPU())
+	var wg sync.WaitGroup
+	for i, c := range cases {
+		results[i] = make([]*placement.Result, seeds)
+		for seed := range seeds {
+			free <- struct{}{}
+			wg.Go(func() {
+				results[i][seed] = placement.Run(d, c, seed+1)
+				<-free
+			})
+		}
+	}
+	wg.Wait()
+	return results
+}
