Let returning chats wait for their engine, and fresh ones even out the load

Change: a returning chat waits up to the patience of its class, 1 s by default, for the engine that has its prompt; a fresh chat goes from an engine above the mean to the first one below it in its own order.

--- a/class.go
+++ b/class.go
@@ -14,6 +14,7 @@
 	maxPriority          = 100
 	maxQueueLimit        = 100000
 	maxQueueDeadline     = 10 * time.Minute
+	defaultPatience      = time.Second
 )
 
 // Class is a kind of request, such as interactive or batch.
@@ -23,6 +24,7 @@
 	weight        int
 	queueLimit    int
 	queueDeadline time.Duration
+	patience      time.Duration
 }
 
 // Name returns the unique name of the class.
@@ -40,6 +42,10 @@
 // QueueDeadline is the longest time that a request waits for an engine.
 func (c Class) QueueDeadline() time.Duration { return c.queueDeadline }
 
+// Patience returns how long a returning chat waits for the engine that has its
+// prompt cached before it goes to another one.
+func (c Class) Patience() time.Duration { return c.patience }
+
 func readClass(s *form.Section) Class {
 	return Class{
 		name:          s.Name(),
@@ -47,5 +53,6 @@
 		weight:        s.Whole("weight", defaultClassWeight, 1, maxClassWeight),
 		queueLimit:    s.Whole("queue-limit", defaultQueueLimit, 0, maxQueueLimit),
 		queueDeadline: s.Duration("queue-deadline", defaultQueueDeadline, time.Millisecond, maxQueueDeadline),
+		patience:      s.Duration("patience", defaultPatience, 0, maxQueueDeadline),
 	}
 }
--- a/cmd/measure/placement/placer.go
+++ b/cmd/measure/placement/placer.go
@@ -44,7 +44,7 @@
 	p.fleet.start(r, e)
 }
 
-func (p *directPlacer) finished(*request)      {}
+func (p *directPlacer) finished(*request)     {}
 func (p *directPlacer) routerReplaced(string) {}
 
 // rank returns the engines that the router believes to be up, the remembered
--- a/cmd/measure/placement/request.go
+++ b/cmd/measure/placement/request.go
@@ -11,13 +11,15 @@
 // request is one arrival on its way.
 type request struct {
 	arrival
-	id      string
-	ranked  []string
-	route   *dispatch.Route
-	engine  *engine
-	post    *post
-	arrived time.Time
-	ended   bool
+	id        string
+	ranked    []string
+	route     *dispatch.Route
+	engine    *engine
+	post      *post
+	arrived   time.Time
+	ended     bool
+	impatient bool
+	cached    bool
 }
 
 func (r *request) key() vanillalug.ChatKey { return vanillalug.ChatKey(r.chat) }
--- a/cmd/measure/placement/way.go
+++ b/cmd/measure/placement/way.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 // Way is a way to choose the engine of a chat.
 type Way interface{ way() }
 
@@ -10,8 +12,13 @@
 // own count hold to be over the bound.
 type LocalBound struct{}
 
-// Admitting asks the router that admits for the engine.
-type Admitting struct{}
+// Admitting asks the router that admits for the engine. Balance sends fresh
+// chats to the least loaded engine; Patience lets returning chats wait for the
+// engine that has their prompt.
+type Admitting struct {
+	Balance  bool
+	Patience time.Duration
+}
 
 // Credits lets routers admit by themselves with credits that the admitting
 // router of the engine lends.
@@ -74,6 +81,14 @@
 		{"admitting, router memory", Admitting{}, RouterMemory{}},
 		{"admitting, caller hint", Admitting{}, CallerHint{}},
 		{"admitting, keeper", Admitting{}, KeeperMemory{}},
+		{"admitting, keeper, balance", Admitting{Balance: true}, KeeperMemory{}},
+		{"admitting, keeper, wait 1s", Admitting{Patience: time.Second}, KeeperMemory{}},
+		{"admitting, keeper, wait 0.5s", Admitting{Patience: 500 * time.Millisecond}, KeeperMemory{}},
+		{"admitting, keeper, balance, wait 0.25s", Admitting{Balance: true, Patience: 250 * time.Millisecond}, KeeperMemory{}},
+		{"admitting, keeper, balance, wait 0.5s", Admitting{Balance: true, Patience: 500 * time.Millisecond}, KeeperMemory{}},
+		{"admitting, keeper, balance, wait 1s", Admitting{Balance: true, Patience: time.Second}, KeeperMemory{}},
+		{"admitting, keeper, balance, wait 2s", Admitting{Balance: true, Patience: 2 * time.Second}, KeeperMemory{}},
+		{"admitting, caller hint, balance, wait 1s", Admitting{Balance: true, Patience: time.Second}, CallerHint{}},
 		{"full knowledge", FullKnowledge{}, NoMemory{}},
 	}
 }
--- a/cmd/router/office/admit.go
+++ b/cmd/router/office/admit.go
@@ -36,10 +36,11 @@
 	if err != nil {
 		return Refused{Problem: vanillalug.NewProblem(http.StatusBadRequest, "bad-chat-key", err.Error())}
 	}
-	if at, ok := o.cachedElsewhere(f, p, q, chat); ok {
+	at, cached := o.cachedAt(f, p, q, chat)
+	if at != nil {
 		return at
 	}
-	return o.queue(ctx, f, p, e, q, chat, sink)
+	return o.queue(ctx, f, p, e, q, chat, cached, sink)
 }
 
 // admissible checks that this router may admit and is not behind the sender.
@@ -79,22 +80,24 @@
 	return p
 }
 
-// cachedElsewhere asks the keeper where the chat is cached.
-func (o *Office) cachedElsewhere(f *vanillalug.Fleet, p *post, q courier.Relay, chat vanillalug.ChatKey) (Verdict, bool) {
+// cachedAt asks the keeper where the chat is cached. It returns a verdict when
+// that is at another engine, and else whether it is cached at this one.
+func (o *Office) cachedAt(f *vanillalug.Fleet, p *post, q courier.Relay, chat vanillalug.ChatKey) (Verdict, bool) {
 	ask := dispatch.Asked{
 		Chat: chat, Returning: q.Returning, Next: q.Next, Home: q.Home,
 		Inherited: q.Inherited, Final: q.Final || q.Last,
 	}
 	for _, e := range p.keeper.Handle(ask) {
-		at, ok := e.(dispatch.At)
-		if !ok {
-			continue
-		}
-		target, known := f.Engine(at.Engine)
-		if known && target.Serves(q.Model) && o.condition(at.Engine) == dispatch.Up {
-			return Cached{Engine: at.Engine, Inherit: at.Inherit}, true
+		switch e := e.(type) {
+		case dispatch.Here:
+			return nil, e.Cached
+		case dispatch.At:
+			target, known := f.Engine(e.Engine)
+			if known && target.Serves(q.Model) && o.condition(e.Engine) == dispatch.Up {
+				return Cached{Engine: e.Engine, Inherit: e.Inherit}, false
+			}
+			p.keeper.Handle(dispatch.Settled{Chat: chat})
 		}
-		p.keeper.Handle(dispatch.Settled{Chat: chat})
 	}
 	return nil, false
 }
@@ -111,21 +114,22 @@
 }
 
 // queue brings the request to the desk and waits for its answer.
-func (o *Office) queue(ctx context.Context, f *vanillalug.Fleet, p *post, e vanillalug.Engine, q courier.Relay, chat vanillalug.ChatKey, sink Sink) Verdict {
+func (o *Office) queue(ctx context.Context, f *vanillalug.Fleet, p *post, e vanillalug.Engine, q courier.Relay, chat vanillalug.ChatKey, cached bool, sink Sink) Verdict {
 	answers := p.await(q.Request)
 	defer p.forget(q.Request)
-	p.handle(desk.Arrive{
-		Request:      o.deskRequest(f, q),
-		Pool:         o.pool(f, e),
-		Alternatives: o.alternatives(f, q),
-		Last:         q.Last,
-	})
+	patience := time.Duration(0)
+	if c, ok := f.Class(q.Class); ok && cached {
+		patience = c.Patience()
+	}
+	p.handle(o.arrival(f, e, q, patience))
 	for {
 		select {
 		case a := <-answers:
 			switch a := a.(type) {
 			case desk.Wait:
 				sink.Waiting()
+			case desk.Reconsider:
+				p.handle(o.arrival(f, e, q, 0))
 			case desk.Elsewhere:
 				p.keeper.Handle(dispatch.Sent{Chat: chat, Engine: a.Engine})
 				return Spilled{Engine: a.Engine}
@@ -143,6 +147,18 @@
 	}
 }
 
+// arrival returns what the desk has to know of a request.
+func (o *Office) arrival(f *vanillalug.Fleet, e vanillalug.Engine, q courier.Relay, patience time.Duration) desk.Arrive {
+	return desk.Arrive{
+		Request:      o.deskRequest(f, q),
+		Pool:         o.pool(f, e),
+		Alternatives: o.alternatives(f, q),
+		Last:         q.Last,
+		Fresh:        !q.Returning && !q.Final,
+		Patience:     patience,
+	}
+}
+
 // withdraw takes a waiting request out. It may have been admitted meanwhile.
 func (o *Office) withdraw(p *post, q courier.Relay, answers chan desk.Effect) Verdict {
 	p.handle(desk.Withdrawn{ID: q.Request})
--- /dev/null
+++ b/cmd/router/office/group_writer_test.go
@@ -0,0 +1,153 @@
+package office
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"vanillalug.example/ledger"
+	"vanillalug.example/platform"
+	"vanillalug.example/schedule"
+)
+
+// fakeTable is a table in memory. While out is set it answers nothing; while
+// lose is set it does what it is asked but its answers are lost.
+type fakeTable struct {
+	mu     sync.Mutex
+	rows   map[string]platform.Row
+	groups int
+	writes int
+	out    bool
+	lose   bool
+	wait   chan struct{}
+}
+
+var errOut = errors.New("out")
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+
+func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.out {
+		return platform.Row{}, platform.NewUnavailableError("Get", false, errOut)
+	}
+	row, ok := f.rows[key]
+	if !ok {
+		return row, platform.NewNotFoundError(key)
+	}
+	return row, nil
+}
+
+func (f *fakeTable) Write(_ context.Context, writes []platform.Write) ([]platform.Result, error) {
+	if f.wait != nil {
+		<-f.wait
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.groups++
+	f.writes += len(writes)
+	if f.out {
+		return nil, platform.NewUnavailableError("Write", false, errOut)
+	}
+	var out []platform.Result
+	for _, w := range writes {
+		out = append(out, f.apply(w))
+	}
+	if f.lose {
+		return nil, platform.NewUnavailableError("Write", true, errOut)
+	}
+	return out, nil
+}
+
+func (f *fakeTable) apply(w platform.Write) platform.Result {
+	old := f.rows[w.Key()]
+	if !platform.Holds(w.Condition(), old.Revision()) {
+		return platform.NewRefused(old)
+	}
+	row := platform.NewRow(w.Key(), w.Value(), old.Revision()+1)
+	f.rows[w.Key()] = row
+	return platform.NewWritten(row.Revision())
+}
+
+func (f *fakeTable) Transact(context.Context, []platform.Write) error { return nil }
+
+func (f *fakeTable) List(context.Context, string, string, int) ([]platform.Row, error) {
+	return nil, nil
+}
+
+func (f *fakeTable) set(out, lose bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.out, f.lose = out, lose
+}
+
+// TestWritesAreGrouped: what comes while a group is under way goes together.
+func TestWritesAreGrouped(t *testing.T) {
+	table := newFakeTable()
+	table.wait = make(chan struct{})
+	g := newGroupWriter(table)
+	var wg sync.WaitGroup
+	for i := range 129 {
+		wg.Go(func() {
+			r, err := g.write(context.Background(), platform.NewWrite(fmt.Sprint(i), nil, platform.Absent{}))
+			require.NoError(t, err)
+			require.True(t, r.Written())
+		})
+	}
+	require.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return len(g.waiting) >= 129-maxGroup
+	}, time.Minute, time.Millisecond)
+	close(table.wait)
+	wg.Wait()
+	require.Equal(t, 129, table.writes)
+	require.LessOrEqual(t, table.groups, 4)
+}
+
+func newTestJournal() (*journal, *fakeTable, *schedule.Fake) {
+	table := newFakeTable()
+	clock := schedule.NewFake(time.Now())
+	return newJournal(clock, table, hclog.NewNullLogger()), table, clock
+}
+
+// TestTableOutageIsToldAtOnce: while the table counts as out, claims are not
+// even tried.
+func TestTableOutageIsToldAtOnce(t *testing.T) {
+	j, table, clock := newTestJournal()
+	claim := ledger.StoreClaim{Claim: ledger.NewClaim("w", "s", "k", ledger.WithAttempt("a"))}
+	table.set(true, false)
+	require.Equal(t, ledger.ClaimNotWritten{}, j.claim(context.Background(), claim))
+	require.Equal(t, ledger.ClaimNotWritten{}, j.claim(context.Background(), claim))
+	require.Equal(t, 1, table.groups)
+	table.set(false, false)
+	clock.Advance(outTime)
+	require.Equal(t, ledger.ClaimStored{Revision: 1}, j.claim(context.Background(), claim))
+}
+
+// TestJournalCatchesUp: what could not be written during an outage is written
+// afterwards.
+func TestJournalCatchesUp(t *testing.T) {
+	j, table, clock := newTestJournal()
+	claim := ledger.NewClaim("w", "s", "k", ledger.WithAttempt("a"))
+	table.set(false, true)
+	require.Equal(t, ledger.ClaimLost{}, j.claim(context.Background(), ledger.StoreClaim{Claim: claim}))
+	table.set(true, false)
+	j.withdraw(claim.Settle(false, ""))
+	require.Equal(t, 1, j.pendingRows())
+	table.set(false, false)
+	for j.pendingRows() > 0 {
+		clock.Advance(lastRowDelay)
+		j.Flush(clock.Now())
+	}
+	got, ok := j.read(context.Background(), claim.TableKey()).(ledger.ClaimExists)
+	require.True(t, ok)
+	require.Equal(t, ledger.Released, got.Claim.State())
+}
--- a/cmd/router/office/journal.go
+++ b/cmd/router/office/journal.go
@@ -38,6 +38,7 @@
 	mu       sync.Mutex
 	outUntil time.Time
 	pending  []pendingRow
+	writing  int
 }
 
 // pendingRow is a row that is still to be amended.
@@ -136,10 +137,11 @@
 	}
 }
 
+// pendingRows returns the number of rows that wait or are being written.
 func (j *journal) pendingRows() int {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return len(j.pending)
+	return len(j.pending) + j.writing
 }
 
 // Flush writes the pending rows that are due.
@@ -164,20 +166,23 @@
 		}
 	}
 	j.pending = later
+	j.writing += len(due)
 	return due
 }
 
 func (j *journal) flushRow(row pendingRow) {
 	ctx, done := background(flushTimeout)
 	defer done()
-	if j.amend(ctx, row.amendment) {
+	amended := j.amend(ctx, row.amendment)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.writing--
+	if amended {
 		return
 	}
 	row.delay = min(max(2*row.delay, firstRowDelay), lastRowDelay)
-	j.mu.Lock()
 	row.due = j.clock.Now().Add(row.delay)
 	j.pending = append(j.pending, row)
-	j.mu.Unlock()
 }
 
 // amend makes one attempt and reports whether nothing is left to do.
--- a/cmd/router/office/post.go
+++ b/cmd/router/office/post.go
@@ -30,7 +30,7 @@
 
 // await registers a request, whose answers come over the channel.
 func (p *post) await(id string) chan desk.Effect {
-	c := make(chan desk.Effect, 2)
+	c := make(chan desk.Effect, 8)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.waiters[id] = c
@@ -67,6 +67,8 @@
 		return e.ID
 	case desk.Elsewhere:
 		return e.ID
+	case desk.Reconsider:
+		return e.ID
 	case desk.Refuse:
 		return e.ID
 	}
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -103,13 +103,38 @@
 		return []Effect{d.refuse(r, EngineClosed)}
 	}
 	d.usages.touch(now, r.workspace, r.share)
+	if engine, ok := d.lessLoaded(now, e); ok {
+		return []Effect{Elsewhere{ID: r.id, Engine: engine}}
+	}
 	if d.queue.size == 0 && d.hasRoom(now, r) {
 		return []Effect{d.admit(now, r, 0)}
 	}
-	if engine, ok := d.roomElsewhere(e); ok {
+	engine, ok := d.roomElsewhere(e)
+	if ok && e.Patience == 0 {
 		return []Effect{Elsewhere{ID: r.id, Engine: engine}}
 	}
-	return d.enqueue(now, r)
+	patient := time.Time{}
+	if ok {
+		patient = now.Add(e.Patience)
+	}
+	return d.enqueue(now, r, patient)
+}
+
+// lessLoaded returns the first engine below the mean load for a fresh chat, if
+// this one is above it. Fresh chats even out the load, so that returning chats
+// find room where their prompt is cached. Since each chat has an order of its
+// own, chats do not all go to the same engine.
+func (d *Desk) lessLoaded(now time.Time, e Arrive) (string, bool) {
+	mean := e.Pool.mean()
+	if !e.Fresh || e.Last || float64(d.load(now)+d.queue.size) < mean+balanceSlack {
+		return "", false
+	}
+	for _, a := range e.Alternatives {
+		if float64(a.load) < mean-balanceSlack {
+			return a.engine, true
+		}
+	}
+	return "", false
 }
 
 // roomElsewhere returns the first alternative under the bound of the pool.
@@ -126,8 +151,8 @@
 	return "", false
 }
 
-func (d *Desk) enqueue(now time.Time, r Request) []Effect {
-	waiting := waiting{request: r, arrived: now, deadline: now.Add(r.deadline)}
+func (d *Desk) enqueue(now time.Time, r Request, patient time.Time) []Effect {
+	waiting := waiting{request: r, arrived: now, deadline: now.Add(r.deadline), patient: patient}
 	if d.queue.waitingIn(r.class) >= r.limit {
 		return []Effect{d.refuse(r, QueueFull)}
 	}
@@ -181,7 +206,11 @@
 	}
 	d.usages.expire(now)
 	d.queue.forgetIdle()
-	return append(out, d.drain(now)...)
+	out = append(out, d.drain(now)...)
+	for _, w := range d.queue.remove(func(w waiting) bool { return w.impatient(now) }) {
+		out = append(out, Reconsider{ID: w.request.id})
+	}
+	return out
 }
 
 func (d *Desk) close() []Effect {
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -68,6 +68,40 @@
 	}
 }
 
+// TestPatience: a request whose prompt is cached here waits for a while before
+// it goes elsewhere, and only then.
+func TestPatience(t *testing.T) {
+	d, clock := newDesk(16)
+	tight := NewPool(2, 1, 1.25, 1)
+	free := []Alternative{NewAlternative("e2", 0, 16)}
+	arrive(d, "a", "w")
+	arrive(d, "a2", "w")
+	patient := Arrive{Request: NewRequest("b", "w"), Pool: tight, Alternatives: free, Patience: time.Second}
+	require.Equal(t, []Effect{Wait{ID: "b"}}, d.Handle(patient))
+	clock.Advance(900 * time.Millisecond)
+	require.Empty(t, d.Handle(Tick{}))
+	clock.Advance(100 * time.Millisecond)
+	require.Equal(t, []Effect{Reconsider{ID: "b"}}, d.Handle(Tick{}))
+	patient.Patience = 0
+	require.Equal(t, []Effect{Elsewhere{ID: "b", Engine: "e2"}}, d.Handle(patient))
+	require.Zero(t, d.Waiting())
+}
+
+// TestFreshChatsEvenOutTheLoad: a fresh chat goes from an engine above the mean
+// to one below it; a returning one stays.
+func TestFreshChatsEvenOutTheLoad(t *testing.T) {
+	d, _ := newDesk(16)
+	for i := range 4 {
+		arrive(d, fmt.Sprint(i), "w")
+	}
+	pool := NewPool(3, 9, 1.25, 8)
+	others := []Alternative{NewAlternative("e2", 3, 16), NewAlternative("e3", 2, 16)}
+	fresh := Arrive{Request: NewRequest("b", "w"), Pool: pool, Alternatives: others, Fresh: true}
+	require.Equal(t, []Effect{Elsewhere{ID: "b", Engine: "e3"}}, d.Handle(fresh))
+	fresh.Fresh = false
+	require.Equal(t, []Effect{Admit{ID: "b"}}, d.Handle(fresh))
+}
+
 func TestRefusals(t *testing.T) {
 	short := WithClass("batch", 1, 1, time.Second)
 	d, clock := newDesk(1)
--- a/desk/effect.go
+++ b/desk/effect.go
@@ -20,6 +20,10 @@
 	Engine string
 }
 
+// Reconsider takes a request whose patience has ended out of the queue. It is
+// to arrive again, without patience.
+type Reconsider struct{ ID string }
+
 // Refuse gives the request up before any of it has run.
 type Refuse struct {
 	ID         string
@@ -27,7 +31,8 @@
 	RetryAfter time.Duration
 }
 
-func (Admit) deskEffect()     {}
-func (Wait) deskEffect()      {}
-func (Elsewhere) deskEffect() {}
-func (Refuse) deskEffect()    {}
+func (Admit) deskEffect()      {}
+func (Wait) deskEffect()       {}
+func (Elsewhere) deskEffect()  {}
+func (Reconsider) deskEffect() {}
+func (Refuse) deskEffect()     {}
--- a/desk/event.go
+++ b/desk/event.go
@@ -6,12 +6,16 @@
 type Event interface{ deskEvent() }
 
 // Arrive brings a request. Alternatives are the other engines that may serve
-// it, best first; Last says that the request must not be sent elsewhere.
+// it, best first; Last says that the request must not be sent elsewhere. Fresh
+// says that nothing of it is cached anywhere. Patience is how long it had
+// better wait here, where its prompt is cached, than go elsewhere.
 type Arrive struct {
 	Request      Request
 	Pool         Pool
 	Alternatives []Alternative
 	Last         bool
+	Fresh        bool
+	Patience     time.Duration
 }
 
 // Adopted brings a request that runs already, since another router admitted it.
--- a/desk/option.go
+++ b/desk/option.go
@@ -20,9 +20,12 @@
 	activeWindow = 30 * time.Second
 	// reportLifetime is how long the engine's own count is believed.
 	reportLifetime = 5 * time.Second
-	minRetryAfter  = time.Second
-	maxRetryAfter  = 60 * time.Second
-	rateSmoothing  = 0.2
+	// balanceSlack is how far above the mean an engine has to be to send a
+	// fresh chat away, and how far below it one that takes it.
+	balanceSlack  = 0.5
+	minRetryAfter = time.Second
+	maxRetryAfter = 60 * time.Second
+	rateSmoothing = 0.2
 	// rateSamples is the number of finished requests before the rate counts.
 	rateSamples = 8
 )
--- a/desk/pool.go
+++ b/desk/pool.go
@@ -26,6 +26,11 @@
 	return max(p.floor, int(math.Ceil(p.bound*mean)))
 }
 
+// mean returns the mean load of the engines.
+func (p Pool) mean() float64 {
+	return float64(p.load) / float64(max(p.engines, 1))
+}
+
 // Alternative is another engine that may serve a request.
 type Alternative struct {
 	engine string
--- a/desk/waiting.go
+++ b/desk/waiting.go
@@ -7,4 +7,12 @@
 	request  Request
 	arrived  time.Time
 	deadline time.Time
+	// patient is until when the request waits here rather than go elsewhere.
+	// It is zero for one that cannot go elsewhere.
+	patient time.Time
+}
+
+// impatient reports whether the request had better go elsewhere by now.
+func (w waiting) impatient(now time.Time) bool {
+	return !w.patient.IsZero() && !now.Before(w.patient)
 }
--- a/dispatch/keeper.go
+++ b/dispatch/keeper.go
@@ -74,17 +74,16 @@
 }
 
 func (k *Keeper) asked(e Asked) Effect {
-	if e.Final {
-		return Here{}
-	}
 	engine, known := k.chats.get(e.Chat)
 	switch {
 	case known && engine == here:
+		return Here{Cached: true}
+	case e.Final:
 		return Here{}
 	case known:
 		return At{Engine: engine}
 	case !e.Returning || !k.complete:
-		return Here{}
+		return Here{Cached: e.Returning}
 	case e.Inherited:
 		return At{Engine: e.Home}
 	case e.Next != "":
--- a/fleet_canonical.go
+++ b/fleet_canonical.go
@@ -62,6 +62,7 @@
 	w.key("weight", strconv.Itoa(c.weight))
 	w.key("queue-limit", strconv.Itoa(c.queueLimit))
 	w.key("queue-deadline", c.queueDeadline.String())
+	w.key("patience", c.patience.String())
 }
 
 func (w *canonicalWriter) service(s Service) {
