Measure the path: latency, throughput and memory of one router and a relay

Change: 'make bench' measures with the same stand-in; ownership of engines is worked out once for each change of members or document instead of at each request (at 410 routers and 100 engines of a pool a request would have hashed 41,000 times).

--- /dev/null
+++ b/cmd/measure/path/latency.go
@@ -0,0 +1,102 @@
+package path
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"vanillalug.example/cmd/demo/stage"
+	"vanillalug.example/cmd/load/caller"
+)
+
+const (
+	latencyTurns  = 400
+	latencyTokens = 50
+	maxMicros     = int64(time.Minute / time.Microsecond)
+)
+
+// latencies are what one caller saw of many turns.
+type latencies struct {
+	first *hdrhistogram.Histogram
+	whole *hdrhistogram.Histogram
+}
+
+func newLatencies() latencies {
+	return latencies{first: hdrhistogram.New(1, maxMicros, 3), whole: hdrhistogram.New(1, maxMicros, 3)}
+}
+
+// Latency measures the time to the first token and to the whole answer of
+// turns one after the other: at the engine, through the router that admits,
+// and through one that relays.
+func Latency(ctx context.Context, out io.Writer, s *stage.Stage) error {
+	direct, err := turns(ctx, s, s.Address("e1"))
+	if err != nil {
+		return err
+	}
+	admitter, other, err := findAdmitter(ctx, s)
+	if err != nil {
+		return err
+	}
+	local, err := turns(ctx, s, s.Address(admitter))
+	if err != nil {
+		return err
+	}
+	relayed, err := turns(ctx, s, s.Address(other))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d turns of %d tokens one after the other, microseconds\n", latencyTurns, latencyTokens)
+	fmt.Fprintln(out, "| way | first token p50 | p95 | p99 | whole answer p50 | p95 | p99 |")
+	fmt.Fprintln(out, "|---|---|---|---|---|---|---|")
+	for _, row := range []struct {
+		name string
+		l    latencies
+	}{{"engine alone", direct}, {"one router", local}, {"router and relay", relayed}} {
+		fmt.Fprintf(out, "| %s | %d | %d | %d | %d | %d | %d |\n", row.name,
+			row.l.first.ValueAtQuantile(50), row.l.first.ValueAtQuantile(95), row.l.first.ValueAtQuantile(99),
+			row.l.whole.ValueAtQuantile(50), row.l.whole.ValueAtQuantile(95), row.l.whole.ValueAtQuantile(99))
+	}
+	return nil
+}
+
+func turns(ctx context.Context, s *stage.Stage, address string) (latencies, error) {
+	l := newLatencies()
+	c := caller.New()
+	for i := range latencyTurns {
+		r := c.Chat(ctx, turnTo(address, fmt.Sprintf("latency-%d", i%20), latencyTokens))
+		if !r.Whole {
+			return l, fmt.Errorf("turns: %s: %d tokens: %v %v", address, r.Tokens, r.Err, r.Problem)
+		}
+		_ = l.first.RecordValue(r.FirstToken.Microseconds())
+		_ = l.whole.RecordValue(r.Total.Microseconds())
+	}
+	return l, nil
+}
+
+func turnTo(address, chat string, tokens int) caller.Turn {
+	return caller.Turn{
+		Router: address, Key: stage.KeyOf("taller-norte"), Model: stage.Model, Chat: chat, Prompt: 100, Tokens: tokens,
+	}
+}
+
+// findAdmitter returns the router that admits for the only engine, and one
+// that does not: a long stream through each shows which of them relays.
+func findAdmitter(ctx context.Context, s *stage.Stage) (admitter, other string, err error) {
+	for _, name := range []string{"r1", "r2"} {
+		if c, err := counter(ctx, s, name, `vanillalug_relays_served_total`); err == nil && c > 0 {
+			return name, map[string]string{"r1": "r2", "r2": "r1"}[name], nil
+		}
+		other := map[string]string{"r1": "r2", "r2": "r1"}[name]
+		r := caller.New().Chat(ctx, turnTo(s.Address(other), "find", 1))
+		if !r.Whole {
+			return "", "", fmt.Errorf("findAdmitter: %v %v", r.Err, r.Problem)
+		}
+		if c, err := counter(ctx, s, name, `vanillalug_relays_served_total`); err == nil && c > 0 {
+			return name, other, nil
+		}
+	}
+	return "", "", fmt.Errorf("findAdmitter: no router served a relay")
+}
--- a/cmd/router/handlers/peers.go
+++ b/cmd/router/handlers/peers.go
@@ -60,6 +60,7 @@
 	}
 	q.Body = body
 	p.office.CountRelay(1)
+	meter.Add("relays_served", 1)
 	defer p.office.CountRelay(-1)
 	sink := newRelaySink(w, q.Request)
 	defer p.clock.Every(heartbeatInterval, sink.heartbeat)()
--- a/cmd/router/office/admit.go
+++ b/cmd/router/office/admit.go
@@ -218,11 +218,6 @@
 	return l.InFlight()
 }
 
-// owns reports whether this router admits for the engine, as it sees the fleet.
-func (o *Office) owns(engine string) bool {
-	return dispatch.Owner(engine, o.roster.Admitting()) == o.name
-}
-
 func (o *Office) alternatives(f *vanillalug.Fleet, q courier.Relay) []desk.Alternative {
 	now := o.clock.Now()
 	var out []desk.Alternative
--- a/cmd/router/office/chat.go
+++ b/cmd/router/office/chat.go
@@ -161,19 +161,12 @@
 // admitter returns the router that admits for the engine, leaving out those
 // that this request has met in trouble.
 func (t *trip) admitter(engine string) (name, address string) {
-	routers := t.office.admitting()
-	for avoided := range t.avoid {
-		delete(routers, avoided)
-	}
-	names := make([]string, 0, len(routers))
-	for n := range routers {
-		names = append(names, n)
-	}
-	name = dispatch.Owner(engine, names)
+	s := t.office.owners()
+	name = s.without(engine, t.avoid)
 	if name == "" {
 		name = t.office.name
 	}
-	return name, routers[name]
+	return name, s.addresses[name]
 }
 
 func (t *trip) relay(hop dispatch.Hop) courier.Relay {
--- a/cmd/router/office/configuration.go
+++ b/cmd/router/office/configuration.go
@@ -56,6 +56,7 @@
 	meter.Add("documents_in_force", 1)
 	o.log.Info("fleet document in force", "version", e.Head.Version(), "digest", e.Head.Digest()[:12],
 		"rules-level", e.Fleet.RulesLevel())
+	o.refreshOwners()
 	o.WatchTargets(o.clock.Now())
 }
 
--- a/cmd/router/office/hand_over.go
+++ b/cmd/router/office/hand_over.go
@@ -18,7 +18,7 @@
 // handOver gives the new admitting router the chats that were sent to other
 // engines. It learns the rest from the engine.
 func (o *Office) handOver(p *post) {
-	owner := dispatch.Owner(p.engine, o.roster.Admitting())
+	owner := o.owners().of(p.engine)
 	m, ok := o.roster.Peer(owner)
 	if !ok {
 		return
--- a/cmd/router/office/membership.go
+++ b/cmd/router/office/membership.go
@@ -71,6 +71,7 @@
 }
 
 func (o *Office) memberChanged(e roster.Changed) {
+	o.refreshOwners()
 	if e.From == e.Member.State() {
 		return
 	}
--- a/cmd/router/office/office.go
+++ b/cmd/router/office/office.go
@@ -35,15 +35,16 @@
 	objects platform.Objects
 	vms     platform.VMs
 
-	roster   *roster.Roster
-	register *register.Register
-	loads    *dispatch.LoadView
-	budget   *allowance.Budget
-	posts    postTable
-	targets  targetTable
-	relays   relayTable
-	journal  *journal
-	open     openCounts
+	roster    *roster.Roster
+	register  *register.Register
+	loads     *dispatch.LoadView
+	budget    *allowance.Budget
+	posts     postTable
+	targets   targetTable
+	relays    relayTable
+	ownership ownership
+	journal   *journal
+	open      openCounts
 
 	leaving atomic.Bool
 	serial  atomic.Uint64
@@ -107,6 +108,7 @@
 		begun:    now,
 	}
 	f.journal = newJournal(out.Clock, out.Table, out.Log.Named("journal"))
+	f.refreshOwners()
 	f.registerGauges()
 	return f
 }
@@ -140,17 +142,6 @@
 	return fmt.Sprintf("%s-%x-%x", o.name, o.roster.Self().Incarnation(), o.serial.Add(1))
 }
 
-// admitting returns the routers that may admit, and their addresses.
-func (o *Office) admitting() map[string]string {
-	out := map[string]string{}
-	for _, m := range o.roster.Members() {
-		if m.State() == roster.Alive || m.State() == roster.Suspect {
-			out[m.Name()] = m.Address()
-		}
-	}
-	return out
-}
-
 func (o *Office) registerGauges() {
 	meter.Gauge("open_requests", func() float64 { return float64(o.open.total()) })
 	meter.Gauge("config_version", func() float64 { return float64(o.register.Head().Version()) })
--- a/cmd/router/office/watch.go
+++ b/cmd/router/office/watch.go
@@ -28,9 +28,8 @@
 	if f == nil {
 		return
 	}
-	routers := o.roster.Admitting()
 	for _, e := range f.Engines() {
-		owned := dispatch.Owner(e.Name(), routers) == o.name
+		owned := o.owns(e.Name())
 		p, ok := o.posts.get(e.Name())
 		if owned && !ok {
 			p, _ = o.posts.getOrAdd(e.Name(), func() *post { return newPost(o, e.Name(), e.Slots()) })
@@ -41,7 +40,7 @@
 		}
 	}
 	for _, t := range f.Targets() {
-		if dispatch.Owner(t.Name(), routers) == o.name {
+		if o.owns(t.Name()) {
 			go o.watchWorker(t)
 		}
 	}
--- a/cmd/standin/engine/engine.go
+++ b/cmd/standin/engine/engine.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -102,6 +103,9 @@
 func (e *Engine) begin(id string, q chatRequest) (*stream, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if id == "" {
+		id = fmt.Sprintf("%s-%d", e.name, e.total)
+	}
 	if s, ok := e.streams[id]; ok {
 		return s, true
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -22,6 +22,8 @@
 	targets    map[string]Target
 	workspaces map[string]Workspace
 	byKey      map[string]string
+	engineList []Engine
+	targetList []Target
 	sharing    map[string][]Engine
 	serving    map[string][]Engine
 	working    map[string][]Target
@@ -52,10 +54,10 @@
 func (f *Fleet) Services() []Service { return sortedValues(f.services) }
 
 // Engines returns the engines in order of name.
-func (f *Fleet) Engines() []Engine { return sortedValues(f.engines) }
+func (f *Fleet) Engines() []Engine { return f.engineList }
 
 // Targets returns the targets of application services in order of name.
-func (f *Fleet) Targets() []Target { return sortedValues(f.targets) }
+func (f *Fleet) Targets() []Target { return f.targetList }
 
 // Workspaces returns the workspaces in order of name.
 func (f *Fleet) Workspaces() []Workspace { return sortedValues(f.workspaces) }
--- a/fleet_index.go
+++ b/fleet_index.go
@@ -7,7 +7,9 @@
 	f.serving = map[string][]Engine{}
 	f.sharing = map[string][]Engine{}
 	f.working = map[string][]Target{}
-	engines := f.Engines()
+	f.engineList = sortedValues(f.engines)
+	f.targetList = sortedValues(f.targets)
+	engines := f.engineList
 	for _, e := range engines {
 		for _, m := range e.models {
 			f.serving[m] = append(f.serving[m], e)
