--- a/cmd/router/handlers/event_sink.go
+++ b/cmd/router/handlers/event_sink.go
@@ -10,10 +10,6 @@
 	"vanillalug.example/cmd/router/office"
 )
 
-// sinkBufferBytes joins the parts of one event. The server has buffers of its
-// own below it.
-const sinkBufferBytes = 512
-
 // eventSink writes an answer to a caller as server-sent events.
 type eventSink struct {
 	w     http.ResponseWriter
@@ -22,7 +18,7 @@
 }
 
 func newEventSink(w http.ResponseWriter) *eventSink {
-	return &eventSink{w: w, out: bufio.NewWriterSize(w, sinkBufferBytes)}
+	return &eventSink{w: w, out: bufio.NewWriter(w)}
 }
 
 // Waiting implements office.Sink.
--- a/cmd/router/handlers/relay_sink.go
+++ b/cmd/router/handlers/relay_sink.go
@@ -30,7 +30,7 @@
 var _ office.Sink = (*relaySink)(nil)
 
 func newRelaySink(w http.ResponseWriter, request string) *relaySink {
-	s := &relaySink{request: request, w: w, out: bufio.NewWriterSize(w, sinkBufferBytes)}
+	s := &relaySink{request: request, w: w, out: bufio.NewWriter(w)}
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.WriteHeader(http.StatusOK)
 	return s
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -24,12 +23,7 @@
 	"vanillalug.example/schedule"
 )
 
-const (
-	shutdownTimeout = 2 * time.Second
-	// gcPercent makes the garbage collector run a little more often than it
-	// does by default, since open streams hold memory for long.
-	gcPercent = 75
-)
+const shutdownTimeout = 2 * time.Second
 
 // listeners are the three servers of a router.
 type listeners struct {
@@ -45,7 +39,6 @@
 		log.Error("cannot listen", "error", err)
 		return exitFailure
 	}
-	debug.SetGCPercent(gcPercent)
 	clock := schedule.NewSystem()
 	o := newOffice(cfg, follows, clock, log)
 	stop := make(chan os.Signal, 1)
