--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -26,6 +26,8 @@
 	switch os.Args[1] {
 	case "placement":
 		err = runPlacement(flags, os.Args[2:])
+	case "slopes":
+		err = runSlopes(flags, os.Args[2:])
 	case "path":
 		err = runPath(flags, os.Args[2:])
 	default:
--- /dev/null
+++ b/cmd/measure/size/keeper.go
@@ -0,0 +1,37 @@
+package size
+
+import (
+	"time"
+
+	"vanillalug.example"
+	"vanillalug.example/dispatch"
+)
+
+// Keeper is what the memory of chats costs at one engine.
+type Keeper struct {
+	Memory int64
+	Ask    time.Duration
+}
+
+const asks = 200_000
+
+// MeasureKeeper fills a keeper and asks it.
+func MeasureKeeper(chats int) Keeper {
+	before := heap()
+	k := dispatch.NewKeeper(2 * chats)
+	for i := range chats {
+		k.Handle(dispatch.Settled{Chat: spread(i)})
+	}
+	memory := heap() - before
+	cpu := processorTime()
+	for i := range asks {
+		k.Handle(dispatch.Asked{Chat: spread(i % chats), Returning: true, Next: "other"})
+	}
+	ask := (processorTime() - cpu) / asks
+	return Keeper{Memory: memory, Ask: ask}
+}
+
+// spread returns chat keys that lie apart, as hashes do.
+func spread(i int) vanillalug.ChatKey {
+	return vanillalug.ChatKey(uint64(i+1) * 0x9e3779b97f4a7c15)
+}
--- /dev/null
+++ b/cmd/measure/slopes_command.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"time"
+
+	"vanillalug.example/cmd/demo/stage"
+	"vanillalug.example/cmd/measure/path"
+	"vanillalug.example/cmd/measure/size"
+	"vanillalug.example/cmd/measure/slope"
+)
+
+// fullTargets is the number of workers whose loads are spread.
+const fullTargets = 600
+
+// runSlopes prints each measurement and the line through it.
+func runSlopes(flags *flag.FlagSet, args []string) error {
+	bin := flags.String("bin", "bin", "folder with the programs")
+	seed := flags.Uint64("seed", 1, "seed")
+	processes := flags.Bool("processes", true, "measure idle routers as processes too")
+	_ = flags.Parse(args)
+	fmt.Printf("seed %d\n", *seed)
+	slopeMembership(*seed)
+	if err := slopeDocuments(); err != nil {
+		return err
+	}
+	slopeKeepers()
+	if err := slopePlacement(); err != nil {
+		return err
+	}
+	if !*processes {
+		return nil
+	}
+	return slopeIdle(*bin)
+}
+
+func slopeMembership(seed uint64) {
+	fmt.Printf("\nmembership and loads of %d targets, by routers, on a fake clock\n", fullTargets)
+	var messages, bytes, cpu, memory []slope.Point
+	for _, n := range []int{18, 50, 100, 200, 410} {
+		m := size.MeasureMembership(n, fullTargets, seed)
+		fmt.Printf("%d routers: dead known after %s, leaving after %s, loads known %.3f, age mean %s, p99 %s, false suspicions %d, false deaths %d\n",
+			n, m.Detection, m.Leaving, m.LoadsKnown, m.LoadAge.Round(10*time.Millisecond), m.LoadAgeP99, m.Suspicions, m.FalseDeaths)
+		x := float64(n)
+		messages = append(messages, slope.Point{Size: x, Value: m.Messages})
+		bytes = append(bytes, slope.Point{Size: x, Value: m.Bytes})
+		cpu = append(cpu, slope.Point{Size: x, Value: 1e6 * m.CPU})
+		memory = append(memory, slope.Point{Size: x, Value: m.Memory})
+	}
+	printLine("messages sent and received a second, each router", "", "router", messages)
+	printLine("bytes of their bodies a second, each router", "bytes", "router", bytes)
+	printLine("processor time, each router", "us/s", "router", cpu)
+	printLine("state, each router", "bytes", "router", memory)
+}
+
+func slopeDocuments() error {
+	fmt.Println("\nfleet document, by sections (3 engines to 2 workspaces)")
+	var bytes, check, memory []slope.Point
+	for _, n := range []int{125, 250, 500, 1000} {
+		d, err := size.MeasureDocument(n*3/5, n*2/5)
+		if err != nil {
+			return err
+		}
+		x := float64(n)
+		bytes = append(bytes, slope.Point{Size: x, Value: float64(d.Bytes)})
+		check = append(check, slope.Point{Size: x, Value: float64(d.Check.Microseconds())})
+		memory = append(memory, slope.Point{Size: x, Value: float64(d.Memory)})
+	}
+	printLine("canonical size", "bytes", "section", bytes)
+	printLine("processor time to check", "us", "section", check)
+	printLine("memory in force", "bytes", "section", memory)
+	return nil
+}
+
+func slopeKeepers() {
+	fmt.Println("\nmemory of chats, by chats at one engine")
+	var memory, ask []slope.Point
+	for _, n := range []int{12500, 25000, 50000, 100000, 200000} {
+		k := size.MeasureKeeper(n)
+		memory = append(memory, slope.Point{Size: float64(n), Value: float64(k.Memory)})
+		ask = append(ask, slope.Point{Size: float64(n), Value: float64(k.Ask.Nanoseconds())})
+	}
+	printLine("memory", "bytes", "chat", memory)
+	printLine("one question", "ns", "chat", ask)
+}
+
+func slopePlacement() error {
+	fmt.Println("\none admission, by engines of a pool")
+	var points []slope.Point
+	for _, n := range []int{10, 25, 50, 100} {
+		d, err := size.MeasurePlacement(n)
+		if err != nil {
+			return err
+		}
+		points = append(points, slope.Point{Size: float64(n), Value: float64(d.Nanoseconds())})
+	}
+	printLine("processor time", "ns", "engine", points)
+	return nil
+}
+
+func slopeIdle(bin string) error {
+	fmt.Println("\nidle routers as processes, with 10 engines and 8 workers, each router")
+	var bytes, cores, memory []slope.Point
+	for _, n := range []int{3, 6, 12, 18, 36} {
+		opts := []stage.Option{stage.WithRouters(n), stage.WithEngines(10), stage.WithWorkers(4)}
+		err := onStage(context.Background(), bin, opts, func(s *stage.Stage) error {
+			i, err := path.MeasureIdle(context.Background(), s, n)
+			x := float64(n)
+			bytes = append(bytes, slope.Point{Size: x, Value: i.Bytes})
+			cores = append(cores, slope.Point{Size: x, Value: 1e6 * i.Cores})
+			memory = append(memory, slope.Point{Size: x, Value: i.Memory})
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	printLine("control bytes a second", "bytes", "router", bytes)
+	printLine("processor time", "us/s", "router", cores)
+	printLine("resident memory", "bytes", "router", memory)
+	return nil
+}
