--- a/cmd/measure/size/membership.go
+++ b/cmd/measure/size/membership.go
@@ -85,6 +85,7 @@
 		w.targets = append(w.targets, name)
 		w.owner[name] = dispatch.Owner(name, m.Names())
 	}
+	m.SetTargets(w.targets)
 	return w
 }
 
--- a/cmd/router/cron/cron.go
+++ b/cmd/router/cron/cron.go
@@ -11,7 +11,6 @@
 )
 
 const (
-	deskInterval    = 50 * time.Millisecond
 	cacheInterval   = 2 * time.Second
 	handInterval    = 10 * time.Second
 	journalInterval = 250 * time.Millisecond
@@ -28,7 +27,6 @@
 		{cfg.VMsInterval(), o.ReadVMs},
 		{cfg.ReportInterval(), o.WatchTargets},
 		{cacheInterval, o.ReadCacheEvents},
-		{deskInterval, o.TickDesks},
 		{handInterval, o.HandOverPosts},
 		{journalInterval, o.FlushJournal},
 	}
--- a/cmd/router/office/configuration.go
+++ b/cmd/router/office/configuration.go
@@ -68,6 +68,10 @@
 	if e.Peer != "" && o.fetchFromPeer(ctx, e.Peer, e.Head) {
 		return
 	}
+	if e.Head.Digest() == "" {
+		o.carryRegister(o.register.Handle(register.FetchFailed{Head: e.Head}))
+		return
+	}
 	text, err := o.objects.GetObject(ctx, register.DocumentKey(e.Head.Digest()))
 	if err != nil {
 		meter.Add("document_fetch_failures", 1)
--- a/cmd/router/office/membership.go
+++ b/cmd/router/office/membership.go
@@ -140,15 +140,15 @@
 
 // Heard takes a peer's gossip.
 func (o *Office) Heard(g *peer.Gossip) {
-	o.carryRoster(g.Take(o.roster, o.loads, o.clock.Now()))
-	if head := peer.RegisterHead(g.GetHead()); head.Version() > 0 {
-		o.carryRegister(o.register.Handle(register.HeadHeard{Peer: g.GetFrom(), Head: head}))
+	o.carryRoster(g.Take(o.roster, o.loads, o.owners().index, o.clock.Now()))
+	if v := g.GetVersion(); v > 0 {
+		o.carryRegister(o.register.Handle(register.HeadHeard{Peer: g.GetFrom(), Version: v}))
 	}
 }
 
 // gossip returns what a message to a peer carries.
 func (o *Office) gossip(to string) *peer.Gossip {
-	return peer.NewGossip(o.roster, o.loads, o.register.Head(), to, o.clock.Now(), rand.IntN)
+	return peer.NewGossip(o.roster, o.loads, o.owners().index, to, o.clock.Now(), rand.IntN)
 }
 
 // tell carries out an event about this router itself and tells some peers at
--- a/cmd/router/office/ownership.go
+++ b/cmd/router/office/ownership.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"vanillalug.example/dispatch"
+	"vanillalug.example/peer"
 	"vanillalug.example/roster"
 )
 
@@ -21,6 +22,7 @@
 	routers   []string
 	addresses map[string]string
 	byTarget  map[string]string
+	index     *peer.Index
 }
 
 // of returns the router that admits for a target.
@@ -51,14 +53,20 @@
 			s.addresses[m.Name()] = m.Address()
 		}
 	}
-	if f := o.Fleet(); f != nil {
+	head, f := o.register.InForce()
+	var targets []string
+	if f != nil {
 		for _, e := range f.Engines() {
-			s.byTarget[e.Name()] = dispatch.Owner(e.Name(), s.routers)
+			targets = append(targets, e.Name())
 		}
 		for _, t := range f.Targets() {
-			s.byTarget[t.Name()] = dispatch.Owner(t.Name(), s.routers)
+			targets = append(targets, t.Name())
 		}
 	}
+	for _, t := range targets {
+		s.byTarget[t] = dispatch.Owner(t, s.routers)
+	}
+	s.index = peer.NewIndex(head.Version(), targets)
 	o.ownership.current.Store(s)
 }
 
--- a/cmd/router/office/post.go
+++ b/cmd/router/office/post.go
@@ -6,6 +6,7 @@
 
 	"vanillalug.example/desk"
 	"vanillalug.example/dispatch"
+	"vanillalug.example/schedule"
 )
 
 // post is all that this router holds for one engine that it admits for.
@@ -15,7 +16,10 @@
 	keeper *dispatch.Keeper
 	health *dispatch.Health
 
+	clock schedule.Clock
+
 	mu       sync.Mutex
+	armed    time.Time
 	waiters  map[string]chan desk.Effect
 	ready    chan struct{}
 	once     sync.Once
@@ -48,6 +52,27 @@
 	for _, e := range p.desk.Handle(ev) {
 		p.deliver(e)
 	}
+	p.arm()
+}
+
+// arm subscribes to the time at which the next waiting request is due.
+func (p *post) arm() {
+	due, ok := p.desk.NextDue()
+	if !ok {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.armed.IsZero() && !due.Before(p.armed) {
+		return
+	}
+	p.armed = due
+	p.clock.After(due.Sub(p.clock.Now()), func(time.Time) {
+		p.mu.Lock()
+		p.armed = time.Time{}
+		p.mu.Unlock()
+		p.handle(desk.Tick{})
+	})
 }
 
 func (p *post) deliver(e desk.Effect) {
--- a/cmd/router/office/post_table.go
+++ b/cmd/router/office/post_table.go
@@ -59,6 +59,7 @@
 	health.SetLeaving(dispatch.ByPlatform, o.targets.isListedLeaving(engine))
 	return &post{
 		engine:  engine,
+		clock:   o.clock,
 		desk:    desk.New(o.clock, slots),
 		keeper:  dispatch.NewKeeper(o.opts.rememberedChats),
 		health:  health,
--- a/cmd/router/office/watch.go
+++ b/cmd/router/office/watch.go
@@ -64,6 +64,7 @@
 	}
 	if f := o.Fleet(); f != nil {
 		p.handle(desk.PoolChanged{Pool: o.pool(f, e)})
+		p.handle(desk.Tick{})
 	}
 }
 
@@ -157,13 +158,6 @@
 	}
 }
 
-// TickDesks lets time pass at every desk.
-func (o *Office) TickDesks(time.Time) {
-	for _, p := range o.posts.all() {
-		p.handle(desk.Tick{})
-	}
-}
-
 // HandOverPosts gives away the posts of engines that other routers admit for.
 func (o *Office) HandOverPosts(now time.Time) {
 	for _, p := range o.posts.all() {
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -89,6 +89,14 @@
 	return d.queue.size
 }
 
+// NextDue returns when the next waiting request loses its patience or reaches
+// its deadline. A Tick is due then.
+func (d *Desk) NextDue() (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.queue.nextDue()
+}
+
 // Idle reports whether no request of this desk is running or waiting.
 func (d *Desk) Idle() bool {
 	d.mu.Lock()
--- a/desk/queue.go
+++ b/desk/queue.go
@@ -1,6 +1,9 @@
 package desk
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // queue orders waiting requests by start-time fair queueing in two levels:
 // classes by weight, then the workspaces of a class by share.
@@ -122,6 +125,21 @@
 	return w
 }
 
+// nextDue returns the earliest time at which a waiting request is due.
+func (q *queue) nextDue() (time.Time, bool) {
+	due, found := time.Time{}, false
+	for _, c := range q.classes {
+		for _, ws := range c.workspaces {
+			for _, w := range ws.waiting {
+				if at := w.due(); !found || at.Before(due) {
+					due, found = at, true
+				}
+			}
+		}
+	}
+	return due, found
+}
+
 // ordered returns the classes with waiting requests, next first.
 func (q *queue) ordered() []*classQueue {
 	var out []*classQueue
--- a/desk/waiting.go
+++ b/desk/waiting.go
@@ -16,3 +16,11 @@
 func (w waiting) impatient(now time.Time) bool {
 	return !w.patient.IsZero() && !now.Before(w.patient)
 }
+
+// due returns when the request loses its patience or reaches its deadline.
+func (w waiting) due() time.Time {
+	if !w.patient.IsZero() && w.patient.Before(w.deadline) {
+		return w.patient
+	}
+	return w.deadline
+}
--- a/lugtest/membertest/membership.go
+++ b/lugtest/membertest/membership.go
@@ -11,7 +11,6 @@
 
 	"vanillalug.example/dispatch"
 	"vanillalug.example/peer"
-	"vanillalug.example/register"
 	"vanillalug.example/roster"
 	"vanillalug.example/schedule"
 )
@@ -25,6 +24,7 @@
 	nodes  map[string]*Node
 	names  []string
 	parted func(a, b string) bool
+	index  *peer.Index
 }
 
 // Node is one router of a Membership.
@@ -54,6 +54,7 @@
 		loss:   loss,
 		nodes:  map[string]*Node{},
 		parted: func(string, string) bool { return false },
+		index:  peer.NewIndex(1, nil),
 	}
 	for i := range routers {
 		m.names = append(m.names, fmt.Sprintf("r%03d", i))
@@ -67,6 +68,9 @@
 	return m
 }
 
+// SetTargets sets the names of the targets whose loads are spread.
+func (m *Membership) SetTargets(targets []string) { m.index = peer.NewIndex(1, targets) }
+
 // Clock returns the clock of all routers.
 func (m *Membership) Clock() *schedule.Fake { return m.clock }
 
@@ -181,7 +185,7 @@
 	if b == nil || a.down || b.down || a.frozen || b.frozen {
 		return false
 	}
-	g := peer.NewGossip(a.Roster, a.Loads, register.NewHead(1, digest, "publication"), to, m.clock.Now(), m.random.IntN)
+	g := peer.NewGossip(a.Roster, a.Loads, m.index, to, m.clock.Now(), m.random.IntN)
 	size := proto.Size(g)
 	a.Messages++
 	a.Bytes += size
@@ -190,13 +194,10 @@
 	}
 	b.Messages++
 	b.Bytes += size
-	m.carry(to, b, g.Take(b.Roster, b.Loads, m.clock.Now()))
+	m.carry(to, b, g.Take(b.Roster, b.Loads, m.index, m.clock.Now()))
 	return true
 }
 
-// digest has the length of a real one.
-const digest = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
-
 // Believed counts the routers that run and believe the state of a member.
 func (m *Membership) Believed(name string, state roster.State) (believers, others int) {
 	for other, n := range m.nodes {
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -27,20 +27,20 @@
 
 // NewLoad returns the message of a load. Ages take the place of times, so that
 // clocks need not agree.
-func NewLoad(l dispatch.Load, now time.Time) *Load {
+func NewLoad(number uint32, l dispatch.Load, now time.Time) *Load {
 	return &Load{
-		Target:    l.Target(),
+		Target:    number,
 		InFlight:  uint32(l.InFlight()),
 		Condition: uint32(l.Condition()),
 		AgeMs:     uint32(now.Sub(l.At()).Milliseconds()),
 	}
 }
 
-// DispatchLoad returns the load of a message.
-func DispatchLoad(b *Load, now time.Time) dispatch.Load {
+// DispatchLoad returns the load of a message about a target.
+func DispatchLoad(target string, b *Load, now time.Time) dispatch.Load {
 	at := now.Add(-time.Duration(b.GetAgeMs()) * time.Millisecond)
 	condition := dispatch.Condition(min(b.GetCondition(), uint32(dispatch.Leaving)))
-	return dispatch.NewLoad(b.GetTarget(), int(b.GetInFlight()), condition, at)
+	return dispatch.NewLoad(target, int(b.GetInFlight()), condition, at)
 }
 
 // NewHead returns the message of a head.
@@ -54,29 +54,36 @@
 }
 
 // LoadsPerMessage is the number of loads in each message between routers.
-const LoadsPerMessage = 32
+const LoadsPerMessage = 96
 
 // NewGossip returns what a message from a router to a peer carries.
-func NewGossip(r *roster.Roster, loads *dispatch.LoadView, h register.Head, to string, now time.Time, pick func(int) int) *Gossip {
-	g := &Gossip{From: r.Self().Name(), Head: NewHead(h)}
+func NewGossip(r *roster.Roster, loads *dispatch.LoadView, x *Index, to string, now time.Time, pick func(int) int) *Gossip {
+	g := &Gossip{From: r.Self().Name(), Version: x.Version()}
 	for _, m := range r.Updates(to) {
 		g.Members = append(g.Members, NewMember(m))
 	}
 	for _, l := range loads.Sample(LoadsPerMessage, now, pick) {
-		g.Loads = append(g.Loads, NewLoad(l, now))
+		if number, ok := x.Number(l.Target()); ok {
+			g.Loads = append(g.Loads, NewLoad(number, l, now))
+		}
 	}
 	return g
 }
 
 // Take gives the members and loads of a message to the roster and the loads.
-// It returns the effects of the roster.
-func (x *Gossip) Take(r *roster.Roster, loads *dispatch.LoadView, now time.Time) []roster.Effect {
-	updates := make([]roster.Member, 0, len(x.GetMembers()))
-	for _, b := range x.GetMembers() {
+// Loads are left out while the routers have different documents in force. It
+// returns the effects of the roster.
+func (g *Gossip) Take(r *roster.Roster, loads *dispatch.LoadView, x *Index, now time.Time) []roster.Effect {
+	updates := make([]roster.Member, 0, len(g.GetMembers()))
+	for _, b := range g.GetMembers() {
 		updates = append(updates, RosterMember(b))
 	}
-	for _, b := range x.GetLoads() {
-		loads.Put(DispatchLoad(b, now))
+	if g.GetVersion() == x.Version() {
+		for _, b := range g.GetLoads() {
+			if target, ok := x.Target(b.GetTarget()); ok {
+				loads.Put(DispatchLoad(target, b, now))
+			}
+		}
 	}
-	return r.Handle(roster.Heard{From: x.GetFrom(), Updates: updates})
+	return r.Handle(roster.Heard{From: g.GetFrom(), Updates: updates})
 }
--- a/register/event.go
+++ b/register/event.go
@@ -6,10 +6,10 @@
 // HeadRead brings the head read from the platform's table.
 type HeadRead struct{ Head Head }
 
-// HeadHeard brings the head in force at a peer.
+// HeadHeard brings the version in force at a peer.
 type HeadHeard struct {
-	Peer string
-	Head Head
+	Peer    string
+	Version uint64
 }
 
 // Fetched brings the document of a head, from the table or from a peer.
--- a/register/register.go
+++ b/register/register.go
@@ -43,7 +43,7 @@
 	case HeadRead:
 		return r.heard(e.Head, "")
 	case HeadHeard:
-		return r.heard(e.Head, e.Peer)
+		return r.heard(NewHead(e.Version, "", ""), e.Peer)
 	case Fetched:
 		return r.fetched(e)
 	case FetchFailed:
@@ -79,6 +79,13 @@
 	return r.fleet
 }
 
+// InForce returns the head and the document in force together.
+func (r *Register) InForce() (Head, *vanillalug.Fleet) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.head, r.fleet
+}
+
 // Text returns the document in force as it was published.
 func (r *Register) Text() []byte {
 	r.mu.Lock()
@@ -109,7 +116,7 @@
 }
 
 func (r *Register) heard(h Head, peer string) []Effect {
-	if h.version <= r.head.version || h == r.unfitFor {
+	if h.version <= max(r.head.version, r.unfitFor.version) {
 		return nil
 	}
 	if h.version < r.wanted.version {
@@ -127,7 +134,7 @@
 }
 
 func (r *Register) fetched(e Fetched) []Effect {
-	if e.Head.version <= r.head.version || e.Head == r.unfitFor {
+	if e.Head.version <= max(r.head.version, r.unfitFor.version) {
 		return nil
 	}
 	r.asked = time.Time{}
--- a/roster/news_queue.go
+++ b/roster/news_queue.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// newsQueue holds the members whose state is still being spread, those sent
-// least often first.
+// newsQueue holds the members whose state is still being spread. Urgent ones
+// go first, then those sent least often.
 type newsQueue struct {
 	sent map[string]int
 }
@@ -19,13 +19,13 @@
 }
 
 // take returns up to n names and drops those sent as often as the limit.
-func (q *newsQueue) take(n, limit int) []string {
+func (q *newsQueue) take(n, limit int, urgent func(name string) bool) []string {
 	names := make([]string, 0, len(q.sent))
 	for name := range q.sent {
 		names = append(names, name)
 	}
 	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(q.sent[a], q.sent[b]), cmp.Compare(a, b))
+		return cmp.Or(compareUrgency(urgent(a), urgent(b)), cmp.Compare(q.sent[a], q.sent[b]), cmp.Compare(a, b))
 	})
 	names = names[:min(n, len(names))]
 	for _, name := range names {
@@ -36,3 +36,15 @@
 	}
 	return names
 }
+
+// compareUrgency puts what is urgent first.
+func compareUrgency(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -129,7 +129,7 @@
 	if m, ok := r.peers[to]; ok && m.state != Alive {
 		out = append(out, *m)
 	}
-	for _, name := range r.news.take(updatesPerMessage-1, r.retransmits()) {
+	for _, name := range r.news.take(updatesPerMessage-1, r.retransmits(), r.isUrgent) {
 		if m, ok := r.peers[name]; ok {
 			out = append(out, *m)
 		}
@@ -137,6 +137,12 @@
 	return out
 }
 
+// isUrgent reports whether a member is in trouble or leaves.
+func (r *Roster) isUrgent(name string) bool {
+	m, ok := r.peers[name]
+	return ok && m.state != Alive
+}
+
 func (r *Roster) tick(now time.Time) []Effect {
 	var out []Effect
 	if gap := now.Sub(r.lastTick); r.overdue(now) {
@@ -302,7 +308,10 @@
 	m.raisedHere = false
 	m.deadline = time.Time{}
 	r.peers[u.name] = &m
-	r.news.add(u.name)
+	if u.incarnation > 0 {
+		// What comes from the platform's list reaches every router by itself.
+		r.news.add(u.name)
+	}
 	if u.state == Suspect {
 		m.deadline = now.Add(r.opts.suspicion)
 	}
