--- /dev/null
+++ b/cmd/measure/fleet_command.go
@@ -0,0 +1,204 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"vanillalug.example/cmd/demo/stage"
+	"vanillalug.example/cmd/load/traffic"
+)
+
+const (
+	fleetRouters = 18
+	fleetEngines = 10
+	publications = 8
+	fleetRate    = 60
+	fleetTokens  = 60
+	fleetPrompt  = 300
+	fleetTime    = 20 * time.Second
+)
+
+// runFleet measures a fleet of today's size: a load of returning chats, the
+// time from a publication until it is in force everywhere, the time from the
+// word that an engine leaves to its last new request, and a rolling
+// replacement of every router under load.
+func runFleet(flags *flag.FlagSet, args []string) error {
+	bin := flags.String("bin", "bin", "folder with the programs")
+	seed := flags.Uint64("seed", 1, "seed")
+	_ = flags.Parse(args)
+	ctx := context.Background()
+	opts := []stage.Option{
+		stage.WithRouters(fleetRouters), stage.WithEngines(fleetEngines), stage.WithWorkers(2),
+		stage.WithTokenInterval(20 * time.Millisecond), stage.WithPrefill(100 * time.Microsecond),
+		stage.WithCacheTokens(400_000), stage.WithBalancerTime(500 * time.Millisecond),
+	}
+	return onStage(ctx, *bin, opts, func(s *stage.Stage) error {
+		for _, step := range []func(context.Context, *stage.Stage, uint64) error{
+			fleetLoad, fleetPublications, fleetLeaving, fleetReplacement,
+		} {
+			if err := step(ctx, s, *seed); err != nil {
+				return err
+			}
+		}
+		return nil
+	})
+}
+
+func fleetPlan(seed uint64, routers []string, d time.Duration) traffic.Plan {
+	p := traffic.Plan{
+		Routers: routers, Model: stage.Model, Rate: fleetRate, Duration: d, Returning: 0.75,
+		Pause: time.Second, Prompt: fleetPrompt, Tokens: fleetTokens, Seed: seed,
+	}
+	for i, ws := range stage.Workspaces {
+		class := "interactive"
+		if i == 2 {
+			class = "batch"
+		}
+		p.Workspaces = append(p.Workspaces, traffic.Workspace{Name: ws, Key: stage.KeyOf(ws), Class: class, Weight: 1})
+	}
+	return p
+}
+
+// fleetLoad sends a load with a tenfold surge of one workspace.
+func fleetLoad(ctx context.Context, s *stage.Stage, seed uint64) error {
+	plan := fleetPlan(seed, s.Addresses("r", ""), fleetTime)
+	plan.Surge = traffic.Surge{Workspace: "grande", Factor: 4, From: fleetTime / 2, To: fleetTime * 3 / 4}
+	operators := s.Addresses("r", "/operators")
+	before := map[string]map[string]float64{}
+	for _, o := range operators {
+		kinds, err := traffic.ReadControl(ctx, o)
+		if err != nil {
+			return err
+		}
+		before[o] = kinds
+	}
+	begun := time.Now()
+	r := traffic.Run(ctx, plan)
+	took := time.Since(begun)
+	for i, o := range operators {
+		after, err := traffic.ReadControl(ctx, o)
+		if err != nil {
+			return err
+		}
+		r.Control = append(r.Control, traffic.ControlBetween(fmt.Sprintf("r%d", i+1), before[o], after, took))
+	}
+	var engines []traffic.EngineReport
+	for _, address := range s.Addresses("e", "") {
+		e, err := traffic.ReadEngine(ctx, address)
+		if err != nil {
+			return err
+		}
+		engines = append(engines, e)
+	}
+	r.SetEngines(engines)
+	fmt.Printf("%d routers, %d engines, %d requests a second, one workspace times 4 for a quarter of the time\n",
+		fleetRouters, fleetEngines, fleetRate)
+	r.Write(os.Stdout)
+	return nil
+}
+
+// fleetPublications measures from the start of the command that publishes to
+// the moment at which every router has the version in force.
+func fleetPublications(ctx context.Context, s *stage.Stage, _ uint64) error {
+	var times []time.Duration
+	for i := range publications {
+		out, err := s.Operate(ctx, "rollback", "-to", "1", "-base", fmt.Sprint(i+1), "-reason", "measured", "-wait", "20s")
+		if err != nil {
+			return fmt.Errorf("fleetPublications: %w: %s", err, out)
+		}
+		_, text, _ := strings.Cut(out, " after ")
+		d, err := time.ParseDuration(strings.TrimSpace(text))
+		if err != nil {
+			return fmt.Errorf("fleetPublications: %w: %s", err, out)
+		}
+		times = append(times, d)
+	}
+	slices.Sort(times)
+	fmt.Printf("in force at all %d routers after: best %s, median %s, worst %s of %d\n",
+		fleetRouters, times[0], times[len(times)/2], times[len(times)-1], len(times))
+	return nil
+}
+
+// fleetLeaving lets an engine say under load that it leaves.
+func fleetLeaving(ctx context.Context, s *stage.Stage, seed uint64) error {
+	done := make(chan *traffic.Report, 1)
+	go func() { done <- traffic.Run(ctx, fleetPlan(seed+1, s.Addresses("r", ""), 12*time.Second)) }()
+	time.Sleep(3 * time.Second)
+	if err := s.Faults("e4", `{"leaving":true}`); err != nil {
+		return err
+	}
+	told := time.Now()
+	last, total := told, -1
+	for time.Since(told) < 8*time.Second {
+		e, err := traffic.ReadEngine(ctx, s.Address("e4"))
+		if err != nil {
+			return err
+		}
+		if total >= 0 && e.Total != total {
+			last = time.Now()
+		}
+		total = e.Total
+		time.Sleep(20 * time.Millisecond)
+	}
+	r := <-done
+	fmt.Printf("an engine says that it leaves: last new request after %s; %d of %d answers whole\n",
+		last.Sub(told).Round(10*time.Millisecond), r.Whole, r.Sent)
+	return s.Faults("e4", `{}`)
+}
+
+// fleetReplacement stops and starts every router but the first, one after the
+// other, under a load through the first and the last replaced.
+func fleetReplacement(ctx context.Context, s *stage.Stage, seed uint64) error {
+	done := make(chan *traffic.Report, 1)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		done <- traffic.Run(context.Background(), fleetPlan(seed+2, []string{s.Address("r1")}, 60*time.Second))
+	}()
+	begun := time.Now()
+	for i := 1; i < fleetRouters; i++ {
+		name := fmt.Sprintf("r%d", i+1)
+		if err := replaceRouter(ctx, s, name); err != nil {
+			return err
+		}
+	}
+	took := time.Since(begun)
+	r := <-done
+	fmt.Printf("%d routers replaced one after the other in %s under load: %d of %d answers whole, reuse %.3f, states %v\n",
+		fleetRouters-1, took.Round(time.Second), r.Whole, r.Sent, r.Reuse, r.RunStates)
+	return nil
+}
+
+func replaceRouter(ctx context.Context, s *stage.Stage, name string) error {
+	p, err := s.Process(name)
+	if err != nil {
+		return err
+	}
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.Done():
+	case <-time.After(30 * time.Second):
+		return fmt.Errorf("replaceRouter: %s does not end", name)
+	}
+	if p.ExitCode() != 0 {
+		return fmt.Errorf("replaceRouter: %s ended with %d", name, p.ExitCode())
+	}
+	if err := s.StartRouter(name, "router"); err != nil {
+		return err
+	}
+	for range 200 {
+		if _, err := s.Get(name, "/readyz"); err == nil {
+			return ctx.Err()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("replaceRouter: %s does not get ready", name)
+}
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -13,6 +13,7 @@
     measure placement [flags]   compares ways to place chats, on a fake clock
     measure slopes    [flags]   measures what docs/CAPACITY.md is worked from
     measure path      [flags]   measures latency, throughput and memory
+    measure fleet     [flags]   measures a fleet of today's size as processes
 
 `
 
@@ -25,7 +26,9 @@
 	var err error
 	switch os.Args[1] {
 	case "placement":
-		err = runPlacement(flags, os.Args[2:])
+		runPlacement(flags, os.Args[2:])
+	case "fleet":
+		err = runFleet(flags, os.Args[2:])
 	case "slopes":
 		err = runSlopes(flags, os.Args[2:])
 	case "path":
--- a/cmd/measure/path/latency.go
+++ b/cmd/measure/path/latency.go
@@ -32,7 +32,7 @@
 // turns one after the other: at the engine, through the router that admits,
 // and through one that relays.
 func Latency(ctx context.Context, out io.Writer, s *stage.Stage) error {
-	direct, err := turns(ctx, s, s.Address("e1"))
+	direct, err := turns(ctx, s.Address("e1"))
 	if err != nil {
 		return err
 	}
@@ -40,11 +40,11 @@
 	if err != nil {
 		return err
 	}
-	local, err := turns(ctx, s, s.Address(admitter))
+	local, err := turns(ctx, s.Address(admitter))
 	if err != nil {
 		return err
 	}
-	relayed, err := turns(ctx, s, s.Address(other))
+	relayed, err := turns(ctx, s.Address(other))
 	if err != nil {
 		return err
 	}
@@ -62,13 +62,13 @@
 	return nil
 }
 
-func turns(ctx context.Context, s *stage.Stage, address string) (latencies, error) {
+func turns(ctx context.Context, address string) (latencies, error) {
 	l := newLatencies()
 	c := caller.New()
 	for i := range latencyTurns {
 		r := c.Chat(ctx, turnTo(address, fmt.Sprintf("latency-%d", i%20), latencyTokens))
 		if !r.Whole {
-			return l, fmt.Errorf("turns: %s: %d tokens: %v %v", address, r.Tokens, r.Err, r.Problem)
+			return l, fmt.Errorf("turns: %s: answer is not whole after %d tokens", address, r.Tokens)
 		}
 		_ = l.first.RecordValue(r.FirstToken.Microseconds())
 		_ = l.whole.RecordValue(r.Total.Microseconds())
@@ -92,7 +92,7 @@
 		other := map[string]string{"r1": "r2", "r2": "r1"}[name]
 		r := caller.New().Chat(ctx, turnTo(s.Address(other), "find", 1))
 		if !r.Whole {
-			return "", "", fmt.Errorf("findAdmitter: %v %v", r.Err, r.Problem)
+			return "", "", fmt.Errorf("findAdmitter: answer is not whole after %d tokens", r.Tokens)
 		}
 		if c, err := counter(ctx, s, name, `vanillalug_relays_served_total`); err == nil && c > 0 {
 			return name, other, nil
--- a/cmd/measure/path_command.go
+++ b/cmd/measure/path_command.go
@@ -66,7 +66,7 @@
 }
 
 // printLine prints measurements and the line through them.
-func printLine(name, unit, axis string, points []slope.Point) slope.Line {
+func printLine(name, unit, axis string, points []slope.Point) {
 	l := slope.Fit(points)
 	fmt.Printf("%s:", name)
 	for _, p := range points {
@@ -74,5 +74,4 @@
 	}
 	fmt.Printf("\n  = %.4g %s + %.4g for each %s (spread %.3g, fit %.3f, largest %g)\n",
 		l.Intercept(), unit, l.Slope(), axis, l.Spread(), l.Quality(), l.Largest())
-	return l
 }
--- a/cmd/measure/placement/admitting.go
+++ b/cmd/measure/placement/admitting.go
@@ -111,7 +111,7 @@
 		Alternatives: p.alternatives(at, r),
 		Last:         hop.Last(),
 		Fresh:        p.balance && r.turn == 0 && !hop.Final(),
-		Patience:     p.patienceOf(r, at),
+		Patience:     p.patienceOf(r),
 	})
 	if spill, ok := effects[0].(desk.Elsewhere); ok {
 		delete(at.open, r.id)
@@ -146,7 +146,7 @@
 
 // patienceOf returns how long a returning chat had better wait for an engine
 // that has its prompt.
-func (p *admittingPlacer) patienceOf(r *request, at *post) time.Duration {
+func (p *admittingPlacer) patienceOf(r *request) time.Duration {
 	if r.impatient || !r.cached {
 		return 0
 	}
@@ -177,7 +177,7 @@
 	for chat := range at.engine.chats {
 		chats.Chats = append(chats.Chats, vanillalug.ChatKey(chat))
 	}
-	slices.SortFunc(chats.Chats, func(a, b vanillalug.ChatKey) int { return cmp.Compare(a, b) })
+	slices.Sort(chats.Chats)
 	at.keeper.Handle(chats)
 }
 
--- a/cmd/measure/placement/fleet.go
+++ b/cmd/measure/placement/fleet.go
@@ -218,8 +218,7 @@
 func (f *fleet) countControl() {
 	seconds := (length - warmUp).Seconds()
 	askers := 1.0
-	switch f.c.way.(type) {
-	case LocalBound:
+	if _, ok := f.c.way.(LocalBound); ok {
 		askers = float64(f.d.routers)
 	}
 	probes := 2 * seconds / probePeriod.Seconds() * float64(f.d.routers)
--- a/cmd/measure/placement/request.go
+++ b/cmd/measure/placement/request.go
@@ -12,7 +12,6 @@
 type request struct {
 	arrival
 	id        string
-	ranked    []string
 	route     *dispatch.Route
 	engine    *engine
 	post      *post
--- a/cmd/measure/placement_command.go
+++ b/cmd/measure/placement_command.go
@@ -17,7 +17,7 @@
 // controlKinds are the kinds of control traffic in the table.
 var controlKinds = []string{"probe", "report", "cache", "credits", "memory"}
 
-func runPlacement(flags *flag.FlagSet, args []string) error {
+func runPlacement(flags *flag.FlagSet, args []string) {
 	seeds := flags.Uint64("seeds", 3, "number of seeds, from 1 on")
 	only := flags.String("only", "", "only cases whose name has this in it")
 	_ = flags.Parse(args)
@@ -25,7 +25,6 @@
 		fmt.Printf("\n%s, seeds 1 to %d\n", d.Name(), *seeds)
 		printPlacement(os.Stdout, d, *seeds, *only)
 	}
-	return nil
 }
 
 // printPlacement runs every case with every seed and prints the means, and the
--- a/cmd/router/office/journal.go
+++ b/cmd/router/office/journal.go
@@ -206,7 +206,7 @@
 func (j *journal) readRow(ctx context.Context, key string) ledger.AmendEvent {
 	switch e := j.read(ctx, key).(type) {
 	case ledger.ClaimExists:
-		return ledger.RowFound{Claim: e.Claim, Revision: e.Revision}
+		return ledger.RowFound(e)
 	case ledger.ClaimAbsent:
 		return ledger.RowMissing{}
 	default:
--- a/cmd/router/settings/settings_test.go
+++ b/cmd/router/settings/settings_test.go
@@ -36,11 +36,11 @@
 }
 
 func TestReadReportsEveryFault(t *testing.T) {
-	text := strings.NewReplacer("name = r1", "nmae = r1", "127.0.0.1:8002", "localhost", "key = p", "").Replace(good)
+	text := strings.NewReplacer("name = r1", "nam = r1", "127.0.0.1:8002", "localhost", "key = p", "").Replace(good)
 	_, err := Read("r1.ini", []byte(text+"\n[limits]\nbody-bytes = 1\n[tims]\n"))
 	for _, want := range []string{
 		"r1.ini: [router] name: is required",
-		"r1.ini: [router] nmae: is not a known key",
+		"r1.ini: [router] nam: is not a known key",
 		`r1.ini: [listen] peers: "localhost": want an IP number and a port`,
 		"r1.ini: [platform] key: is required",
 		`r1.ini: [limits] body-bytes: "1": want a whole number from 1024 to 67108864`,
--- a/fleet_test.go
+++ b/fleet_test.go
@@ -102,7 +102,9 @@
 }
 
 func TestSharedKeyIsAFault(t *testing.T) {
-	text := good + strings.Replace(good[strings.Index(good, "[workspace"):], "taller", "zweite", 1)
+	_, workspace, found := strings.Cut(good, "[workspace taller]")
+	require.True(t, found)
+	text := good + "\n[workspace zweite]" + workspace
 	_, err := ReadFleet("fleet.ini", []byte(text))
 	require.ErrorContains(t, err, `[workspace zweite] key-sha256: is the key of workspace "taller" too`)
 }
--- a/form/form_test.go
+++ b/form/form_test.go
@@ -42,7 +42,7 @@
 		"bad flag":        {"[one]\nname = x\nflag = true\n", `test.ini: [one] flag: "true": want yes or no`},
 		"bad choice":      {"[one]\nname = x\nchoice = c\n", `test.ini: [one] choice: "c": want one of a, b`},
 		"bad address":     {"[one]\nname = x\naddress = localhost:80\n", `test.ini: [one] address: "localhost:80": want an IP number and a port, such as 127.0.0.1:8080`},
-		"unknown key":     {"[one]\nname = x\nnmae = y\n", "test.ini: [one] nmae: is not a known key"},
+		"unknown key":     {"[one]\nname = x\nnam = y\n", "test.ini: [one] nam: is not a known key"},
 		"unknown section": {"[one]\nname = x\n[two]\n", "test.ini: [two]: is not a known section"},
 		"key twice":       {"[one]\nname = x\nname = y\n", "test.ini: [one] name: stands twice"},
 		"section twice":   {"[one]\nname = x\n[one]\nname = y\n", "test.ini: [one]: stands twice"},
--- a/lugtest/membertest/membership.go
+++ b/lugtest/membertest/membership.go
@@ -25,8 +25,18 @@
 	names  []string
 	parted func(a, b string) bool
 	index  *peer.Index
+	sent   []sentMessage
 }
 
+// sentMessage is a message that may come again, late.
+type sentMessage struct {
+	to     string
+	gossip *peer.Gossip
+}
+
+// maxSent is the number of messages that may come again.
+const maxSent = 200
+
 // Node is one router of a Membership.
 type Node struct {
 	Roster *roster.Roster
@@ -187,6 +197,10 @@
 	}
 	g := peer.NewGossip(a.Roster, a.Loads, m.index, to, m.clock.Now(), m.random.IntN)
 	size := proto.Size(g)
+	m.sent = append(m.sent, sentMessage{to: to, gossip: g})
+	if len(m.sent) > maxSent {
+		m.sent = m.sent[1:]
+	}
 	a.Messages++
 	a.Bytes += size
 	if m.random.Float64() < m.loss || m.parted(from, to) {
@@ -198,6 +212,18 @@
 	return true
 }
 
+// Repeat delivers one of the last messages again; pick chooses which.
+func (m *Membership) Repeat(pick func(n int) int) {
+	if len(m.sent) == 0 {
+		return
+	}
+	x := m.sent[pick(len(m.sent))]
+	n := m.nodes[x.to]
+	if !n.down && !n.frozen {
+		m.carry(x.to, n, x.gossip.Take(n.Roster, n.Loads, m.index, m.clock.Now()))
+	}
+}
+
 // Believed counts the routers that run and believe the state of a member.
 func (m *Membership) Believed(name string, state roster.State) (believers, others int) {
 	for other, n := range m.nodes {
--- a/register/register_test.go
+++ b/register/register_test.go
@@ -32,9 +32,8 @@
 	return NewHead(version, f.Digest(), fmt.Sprint(version))
 }
 
-func newRegister() (*Register, *schedule.Fake) {
-	clock := schedule.NewFake(time.Now())
-	return New(clock, vanillalug.NewLevelRange(1, 2)), clock
+func newRegister() *Register {
+	return New(schedule.NewFake(time.Now()), vanillalug.NewLevelRange(1, 2))
 }
 
 func TestRegister(t *testing.T) {
@@ -55,7 +54,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
-			r, _ := newRegister()
+			r := newRegister()
 			var got []Effect
 			for _, ev := range tt.events {
 				got = r.Handle(ev)
@@ -69,16 +68,19 @@
 // TestUnfitRouterRecovers: a router that cannot follow a version takes new
 // work again once a later version brings the level back.
 func TestUnfitRouterRecovers(t *testing.T) {
-	r, _ := newRegister()
-	r.Handle(Fetched{headOf(1, text(1, 3)), text(1, 3)})
+	r := newRegister()
+	r.Handle(Fetched{headOf(1, text(1, 1)), text(1, 1)})
+	require.True(t, r.Fit())
+	r.Handle(Fetched{headOf(2, text(1, 3)), text(1, 3)})
 	require.False(t, r.Fit())
 	require.Equal(t, 3, r.UnfitLevel())
-	r.Handle(Fetched{headOf(2, text(1, 2)), text(1, 2)})
+	require.Equal(t, uint64(1), r.Head().Version())
+	r.Handle(Fetched{headOf(3, text(1, 2)), text(1, 2)})
 	require.True(t, r.Fit())
 }
 
 func TestDamagedDocumentIsRejected(t *testing.T) {
-	r, _ := newRegister()
+	r := newRegister()
 	effects := r.Handle(Fetched{headOf(1, text(1, 1)), text(2, 1)})
 	rejected, ok := effects[0].(Rejected)
 	require.True(t, ok)
@@ -87,11 +89,10 @@
 	require.Equal(t, uint64(0), r.Head().Version())
 }
 
-// store is the table with the versions that are accepted; stale is what stale
-// reads show.
+// store is the table with the versions that are accepted, and writes that are
+// still under way.
 type store struct {
 	accepted []Record
-	stale    int
 	late     []Record
 }
 
@@ -138,6 +139,13 @@
 	routers   []*Register
 	highest   []uint64
 	docs      map[string][]byte
+	late      []lateDocument
+}
+
+// lateDocument is an answer to a fetch that is still under way.
+type lateDocument struct {
+	router *Register
+	event  Fetched
 }
 
 func newFleet(routers int) *fleet {
@@ -239,7 +247,9 @@
 func (f *fleet) fetch(r *Register, effects []Effect, works bool) {
 	for _, e := range effects {
 		if x, ok := e.(Fetch); ok && works {
-			r.Handle(Fetched{Head: x.Head, Text: f.docs[x.Head.digest]})
+			fetched := Fetched{Head: x.Head, Text: f.docs[x.Head.digest]}
+			f.late = append(f.late, lateDocument{router: r, event: fetched})
+			r.Handle(fetched)
 		} else if ok {
 			r.Handle(FetchFailed{Head: x.Head})
 		}
@@ -291,6 +301,12 @@
 					f.store.late = f.store.late[1:]
 				}
 			},
+			"late-document": func(t *rapid.T) {
+				if len(f.late) > 0 {
+					late := rapid.SampledFrom(f.late).Draw(t, "late-document")
+					late.router.Handle(late.event)
+				}
+			},
 			"poll":   func(t *rapid.T) { f.poll(t, router.Draw(t, "router"), false) },
 			"gossip": func(t *rapid.T) { f.gossip(t, router.Draw(t, "to"), router.Draw(t, "from"), false) },
 			"restart": func(t *rapid.T) {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -188,7 +188,12 @@
 			"start":  func(t *rapid.T) { m.Clock().Advance(time.Millisecond); m.Start(name.Draw(t, "start")) },
 			"freeze": func(t *rapid.T) { m.Freeze(name.Draw(t, "freeze"), rapid.Bool().Draw(t, "on")) },
 			"leave":  func(t *rapid.T) { m.Leave(name.Draw(t, "leave")) },
-			"list":   func(t *rapid.T) { m.List(name.Draw(t, "list")) },
+			"repeat": func(t *rapid.T) {
+				for range 5 {
+					m.Repeat(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "message") })
+				}
+			},
+			"list": func(t *rapid.T) { m.List(name.Draw(t, "list")) },
 			"": func(t *rapid.T) {
 				steps++
 				o.check(t, m)
@@ -223,6 +228,26 @@
 	}
 }
 
+// TestSuccessorIsProbedEveryOtherTick: no member is left to chance.
+func TestSuccessorIsProbedEveryOtherTick(t *testing.T) {
+	clock := schedule.NewFake(time.Now())
+	r := roster.New(clock, roster.NewMember("r05", "", "", 1))
+	var peers []roster.Member
+	for i := range 18 {
+		peers = append(peers, roster.NewMember(fmt.Sprintf("r%02d", i), "", "", 1))
+	}
+	r.Handle(roster.Heard{Updates: peers})
+	probed := 0
+	for range 20 {
+		for _, e := range r.Handle(roster.Tick{}) {
+			if p, ok := e.(roster.Probe); ok && p.Member.Name() == "r06" {
+				probed++
+			}
+		}
+	}
+	require.GreaterOrEqual(t, probed, 10)
+}
+
 func TestSilentMembersAreNotTrustedAlone(t *testing.T) {
 	clock := schedule.NewFake(time.Now())
 	r := roster.New(clock, roster.NewMember("a", "", "", 1))
