--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 # Runs every test of every module. Tests listed in KNOWN-RED.txt are left out.
 test:
-	go test -count=1 -p 2 $(if $(SKIP),-skip '$(SKIP)') work
+	go test -count=1 -p 4 $(if $(SKIP),-skip '$(SKIP)') work
 
 demo: build
 	$(BIN)/demo -bin $(BIN)
--- a/cmd/measure/placement/churn.go
+++ b/cmd/measure/placement/churn.go
@@ -19,6 +19,17 @@
 	}
 }
 
+// replaceAll plans the loss of everything that the routers know.
+func (f *fleet) replaceAll() {
+	f.at(ReplaceAt, func() {
+		for i, r := range f.routers {
+			name := r.name
+			f.routers[i] = f.newRouter(name)
+			f.place.routerReplaced(name)
+		}
+	})
+}
+
 func (f *fleet) at(d time.Duration, fn func()) { f.clock.After(d, func(time.Time) { fn() }) }
 
 // setUp changes an engine. Every router learns of it with its own lag. An
--- a/cmd/measure/placement/deployment.go
+++ b/cmd/measure/placement/deployment.go
@@ -20,6 +20,17 @@
 	workspaces []float64
 	batch      []bool
 	surging    int
+	replaceAll bool
+}
+
+// ReplaceAt is when a deployment WithReplacement replaces its routers.
+const ReplaceAt = 28 * time.Minute
+
+// WithReplacement returns the deployment without other churn, but with every
+// router replaced by an empty one at the same time.
+func (d Deployment) WithReplacement() Deployment {
+	d.replaceAll = true
+	return d
 }
 
 const (
--- a/cmd/measure/placement/fleet.go
+++ b/cmd/measure/placement/fleet.go
@@ -77,7 +77,11 @@
 	f.addRouters()
 	f.place = newPlacer(f)
 	f.schedule(trace(d, seed))
-	f.churn()
+	if d.replaceAll {
+		f.replaceAll()
+	} else {
+		f.churn()
+	}
 	f.clock.Every(reportPeriod, func(time.Time) { f.sample() })
 	f.clock.Advance(length)
 	f.countControl()
@@ -152,6 +156,12 @@
 	e := r.engine
 	e.running++
 	have := e.use(r.chat, r.prompt+r.answer)
+	m := f.result.at(f.clock.Now().Sub(f.begun))
+	m.waits = append(m.waits, f.clock.Now().Sub(r.arrived))
+	if r.turn > 0 {
+		m.prefix += f.prefixOf(r)
+		m.reused += min(have, f.prefixOf(r))
+	}
 	if f.measured() {
 		class := r.class(f.d)
 		f.result.waits[class] = append(f.result.waits[class], f.clock.Now().Sub(r.arrived))
--- a/cmd/measure/placement/result.go
+++ b/cmd/measure/placement/result.go
@@ -16,6 +16,38 @@
 	bytes    map[string]float64
 	duration time.Duration
 	routers  int
+	minutes  []minute
+}
+
+// minute is what one minute of a run measured, the warm-up included.
+type minute struct {
+	prefix int
+	reused int
+	waits  []time.Duration
+}
+
+// at returns the minute of a time.
+func (r *Result) at(d time.Duration) *minute {
+	i := int(d / time.Minute)
+	for len(r.minutes) <= i {
+		r.minutes = append(r.minutes, minute{})
+	}
+	return &r.minutes[i]
+}
+
+// ReuseAt returns the reuse in one minute.
+func (r *Result) ReuseAt(i int) float64 {
+	return float64(r.minutes[i].reused) / float64(max(r.minutes[i].prefix, 1))
+}
+
+// WaitAt returns a quantile of the time in queue in one minute.
+func (r *Result) WaitAt(i int, q float64) time.Duration {
+	w := r.minutes[i].waits
+	if len(w) == 0 {
+		return 0
+	}
+	slices.Sort(w)
+	return w[int(q*float64(len(w)-1))]
 }
 
 func newResult(routers int) *Result {
--- a/cmd/measure/placement_command.go
+++ b/cmd/measure/placement_command.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -20,13 +21,38 @@
 func runPlacement(flags *flag.FlagSet, args []string) {
 	seeds := flags.Uint64("seeds", 3, "number of seeds, from 1 on")
 	only := flags.String("only", "", "only cases whose name has this in it")
+	recovery := flags.Bool("recovery", false, "replace every router at once and print the minutes around it")
 	_ = flags.Parse(args)
+	if *recovery {
+		printRecovery(*seeds)
+		return
+	}
 	for _, d := range placement.Deployments() {
 		fmt.Printf("\n%s, seeds 1 to %d\n", d.Name(), *seeds)
 		printPlacement(os.Stdout, d, *seeds, *only)
 	}
 }
 
+// printRecovery prints reuse and waits, minute by minute, around the moment at
+// which every router is replaced, for the way that the product runs.
+func printRecovery(seeds uint64) {
+	cases := placement.Cases()
+	chosen := cases[slices.IndexFunc(cases, func(c placement.Case) bool { return c.Name() == chosenCase })]
+	at := int(placement.ReplaceAt / time.Minute)
+	for _, d := range placement.Deployments() {
+		rs := runAll(d.WithReplacement(), []placement.Case{chosen}, seeds)[0]
+		fmt.Printf("%s, every router replaced at minute %d, seeds 1 to %d\n", d.Name(), at, seeds)
+		for i := at - 2; i < at+7; i++ {
+			reuse := mean(rs, func(r *placement.Result) float64 { return r.ReuseAt(i) })
+			wait := mean(rs, func(r *placement.Result) float64 { return r.WaitAt(i, 0.99).Seconds() })
+			fmt.Printf("  minute %d: reuse %.3f, 99th-percentile wait %.2f s\n", i, reuse, wait)
+		}
+	}
+}
+
+// chosenCase is the way that the product runs.
+const chosenCase = "admitting, keeper, balance, wait up to cold cost"
+
 // printPlacement runs every case with every seed and prints the means, and the
 // worst of the skews.
 func printPlacement(out io.Writer, d placement.Deployment, seeds uint64, only string) {
