Give up readers that take nothing, and refuse what is over a limit with a problem

Cause: read against the issues, a caller that stops reading held its stream and its slot for ever, and headers and connections over their limits were refused by the library without a problem that states the run state. Change: a stream whose reader takes nothing for 30 s is given up and its work cancelled; headers and connections over the limit get a problem, twice the limit is closed.

--- a/allowance/budget.go
+++ b/allowance/budget.go
@@ -2,7 +2,8 @@
 
 import (
 	"sync"
-	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -60,24 +61,5 @@
 }
 
 func (b *Budget) shard(workspace string) *shard {
-	h := uint32(2166136261)
-	for i := range len(workspace) {
-		h = (h ^ uint32(workspace[i])) * 16777619
-	}
-	return &b.shards[h%shardCount]
-}
-
-const (
-	firstBackoff = 20 * time.Millisecond
-	lastBackoff  = 2 * time.Second
-)
-
-// Backoff returns the delay before the retry of the number, counted from 0.
-// The random number lies in [0, 1) and spreads the retries of many callers.
-func Backoff(retry int, random float64) time.Duration {
-	d := lastBackoff
-	if retry < 7 {
-		d = min(firstBackoff<<retry, lastBackoff)
-	}
-	return time.Duration((0.5 + random/2) * float64(d))
+	return &b.shards[xxhash.Sum64String(workspace)%shardCount]
 }
--- a/cmd/demo/scenario_commands_test.go
+++ b/cmd/demo/scenario_commands_test.go
@@ -45,6 +45,9 @@
 		Number: w.number("turn", 0), Prompt: w.number("prompt", 100), Tokens: w.number("tokens", 20),
 		NoStream: w.text("stream", "yes") == "no", Unnamed: w.text("named", "yes") == "no",
 	}
+	if t.Key == "HEADER" {
+		t.Key = strings.Repeat("x", 40<<10)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), 2*patience)
 	b := &backgroundChat{tokens: make(chan int, t.Tokens+1), result: make(chan caller.Result, 1), cancel: cancel}
 	t.OnToken = func(n int) { b.tokens <- n }
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+
+	"vanillalug.example/reception"
 )
 
 const usage = `measure makes the measurements that the documents give.
@@ -22,6 +24,7 @@
 		fmt.Fprint(os.Stderr, usage)
 		os.Exit(2)
 	}
+	reception.NewLogger("measure", "error", false, os.Stderr)
 	flags := flag.NewFlagSet(os.Args[1], flag.ExitOnError)
 	var err error
 	switch os.Args[1] {
--- a/cmd/measure/path/latency.go
+++ b/cmd/measure/path/latency.go
@@ -48,6 +48,9 @@
 	if err != nil {
 		return err
 	}
+	if err := callLatency(ctx, out, s, admitter); err != nil {
+		return err
+	}
 	fmt.Fprintf(out, "%d turns of %d tokens one after the other, microseconds\n", latencyTurns, latencyTokens)
 	fmt.Fprintln(out, "| way | first token p50 | p95 | p99 | whole answer p50 | p95 | p99 |")
 	fmt.Fprintln(out, "|---|---|---|---|---|---|---|")
--- a/cmd/router/handlers/callers.go
+++ b/cmd/router/handlers/callers.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"vanillalug.example"
 	"vanillalug.example/cmd/router/courier"
@@ -18,14 +19,24 @@
 
 // Callers answers callers.
 type Callers struct {
-	office  *office.Office
-	maxBody int64
+	office *office.Office
+	limits Limits
 }
 
-// NewCallers returns the handlers of the caller listener. Bodies over the
-// limit are refused.
-func NewCallers(o *office.Office, maxBody int) *Callers {
-	return &Callers{office: o, maxBody: int64(maxBody)}
+// Limits are the limits of the caller listener.
+type Limits struct {
+	// Body and Header are in bytes.
+	Body   int
+	Header int
+	// Conns is the number of open connections; Open tells how many there are.
+	Conns int
+	Open  func() int64
+}
+
+// NewCallers returns the handlers of the caller listener. What is over the
+// limits is refused with a problem.
+func NewCallers(o *office.Office, limits Limits) *Callers {
+	return &Callers{office: o, limits: limits}
 }
 
 // Register adds the handlers to a server.
@@ -44,9 +55,9 @@
 // guard finds the workspace by the caller's key and writes problems.
 func (c *Callers) guard(next handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		ws, p := c.workspace(r)
+		ws, p := c.admit(w, r)
 		if p == nil {
-			r.Body = http.MaxBytesReader(w, r.Body, c.maxBody)
+			r.Body = http.MaxBytesReader(w, r.Body, int64(c.limits.Body))
 			p = next(w, r, ws)
 		}
 		if p == nil {
@@ -58,6 +69,20 @@
 	}
 }
 
+// admit checks the limits that hold before the body is read, and the key.
+func (c *Callers) admit(w http.ResponseWriter, r *http.Request) (vanillalug.Workspace, *vanillalug.Problem) {
+	if headerBytes(r.Header)+len(r.RequestURI) > c.limits.Header {
+		return vanillalug.Workspace{}, vanillalug.NewProblem(http.StatusRequestHeaderFieldsTooLarge,
+			"header-too-large", "the header is over the limit of the router", vanillalug.WithField("header"))
+	}
+	if c.limits.Open() > int64(c.limits.Conns) {
+		w.Header().Set("Connection", "close")
+		return vanillalug.Workspace{}, vanillalug.NewProblem(http.StatusServiceUnavailable, "too-many-connections",
+			"the router has too many connections open", vanillalug.WithRetryAfter(time.Second))
+	}
+	return c.workspace(r)
+}
+
 func (c *Callers) workspace(r *http.Request) (vanillalug.Workspace, *vanillalug.Problem) {
 	f := c.office.Fleet()
 	if f == nil {
--- a/cmd/router/handlers/event_sink.go
+++ b/cmd/router/handlers/event_sink.go
@@ -14,6 +14,9 @@
 // own below it.
 const sinkBufferBytes = 512
 
+// writeTimeout is how long a caller or a peer may take nothing of a stream.
+const writeTimeout = 30 * time.Second
+
 // eventSink writes an answer to a caller as server-sent events.
 type eventSink struct {
 	w     http.ResponseWriter
@@ -53,12 +56,19 @@
 	s.w.WriteHeader(http.StatusOK)
 }
 
-func (s *eventSink) flush() error {
-	if err := s.out.Flush(); err != nil {
+func (s *eventSink) flush() error { return flushWithin(s.w, s.out) }
+
+// flushWithin sends what is buffered. A reader that takes nothing for the
+// write timeout is given up.
+func flushWithin(w http.ResponseWriter, out *bufio.Writer) error {
+	c := http.NewResponseController(w)
+	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if err := out.Flush(); err != nil {
 		return err
 	}
-	s.w.(http.Flusher).Flush()
-	return nil
+	return c.Flush()
 }
 
 // fail writes a problem as an error event.
--- a/cmd/router/handlers/relay_sink.go
+++ b/cmd/router/handlers/relay_sink.go
@@ -110,10 +110,4 @@
 	_ = s.flush()
 }
 
-func (s *relaySink) flush() error {
-	if err := s.out.Flush(); err != nil {
-		return err
-	}
-	s.w.(http.Flusher).Flush()
-	return nil
-}
+func (s *relaySink) flush() error { return flushWithin(s.w, s.out) }
--- /dev/null
+++ b/cmd/router/office/journal_rows.go
@@ -0,0 +1,150 @@
+package office
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/ledger"
+	"vanillalug.example/platform"
+)
+
+const (
+	// maxPending bounds the rows that wait to be written later.
+	maxPending    = 10000
+	rowsPerFlush  = 100
+	firstRowDelay = 250 * time.Millisecond
+	lastRowDelay  = 10 * time.Second
+	flushTimeout  = 2 * time.Second
+)
+
+// record writes an outcome over its claim, again until it is written.
+func (j *journal) record(c ledger.Claim, revision uint64) {
+	j.add(pendingRow{amendment: ledger.NewAmendment(c, revision)})
+}
+
+// withdraw releases a claim that was not dispatched, wherever it turns up.
+func (j *journal) withdraw(c ledger.Claim) {
+	j.add(pendingRow{amendment: ledger.NewAmendment(c, 0)})
+}
+
+func (j *journal) add(row pendingRow) {
+	row.due = j.clock.Now()
+	j.mu.Lock()
+	full := len(j.pending) >= maxPending
+	if !full {
+		j.pending = append(j.pending, row)
+	}
+	j.mu.Unlock()
+	if full {
+		meter.Add("journal_rows_given_up", 1)
+		return
+	}
+	if row.delay == 0 {
+		go j.Flush(j.clock.Now())
+	}
+}
+
+// pendingRows returns the number of rows that wait or are being written.
+func (j *journal) pendingRows() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.pending) + j.writing
+}
+
+// Flush writes the pending rows that are due.
+func (j *journal) Flush(now time.Time) {
+	due := j.takeDue(now)
+	var wg sync.WaitGroup
+	for _, row := range due {
+		wg.Go(func() { j.flushRow(row) })
+	}
+	wg.Wait()
+}
+
+func (j *journal) takeDue(now time.Time) []pendingRow {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var due, later []pendingRow
+	for _, row := range j.pending {
+		if len(due) < rowsPerFlush && !row.due.After(now) {
+			due = append(due, row)
+		} else {
+			later = append(later, row)
+		}
+	}
+	j.pending = later
+	j.writing += len(due)
+	return due
+}
+
+func (j *journal) flushRow(row pendingRow) {
+	ctx, done := background(flushTimeout)
+	defer done()
+	amended := j.amend(ctx, row.amendment)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.writing--
+	if amended {
+		return
+	}
+	row.delay = min(max(2*row.delay, firstRowDelay), lastRowDelay)
+	row.due = j.clock.Now().Add(row.delay)
+	j.pending = append(j.pending, row)
+}
+
+// amend makes one attempt and reports whether nothing is left to do.
+func (j *journal) amend(ctx context.Context, a *ledger.Amendment) bool {
+	effect := a.Handle(ledger.AmendBegun{})
+	for {
+		switch e := effect.(type) {
+		case ledger.ReadRow:
+			effect = a.Handle(j.readRow(ctx, e.Key))
+		case ledger.WriteRow:
+			effect = a.Handle(j.writeRow(ctx, e))
+		case ledger.AmendDone:
+			meter.Count("journal_rows", "state", string(a.Claim().State()))
+			return true
+		default:
+			return false
+		}
+	}
+}
+
+func (j *journal) readRow(ctx context.Context, key string) ledger.AmendEvent {
+	switch e := j.read(ctx, key).(type) {
+	case ledger.ClaimExists:
+		return ledger.RowFound(e)
+	case ledger.ClaimAbsent:
+		return ledger.RowMissing{}
+	default:
+		return ledger.RowFailed{}
+	}
+}
+
+func (j *journal) writeRow(ctx context.Context, e ledger.WriteRow) ledger.AmendEvent {
+	result, err := j.write(ctx, e.Claim, e.Revision)
+	switch {
+	case err != nil:
+		return ledger.RowFailed{}
+	case !result.Written():
+		return ledger.RowRefused{}
+	}
+	return ledger.RowWritten{}
+}
+
+// write writes a claim over the row at the revision, or where there is none
+// for revision 0.
+func (j *journal) write(ctx context.Context, c ledger.Claim, revision uint64) (platform.Result, error) {
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return platform.Result{}, platform.NewUnavailableError("write", false, err)
+	}
+	var condition platform.Condition = platform.Absent{}
+	if revision > 0 {
+		condition = platform.AtRevision{Revision: revision}
+	}
+	return j.writer.write(ctx, platform.NewWrite(c.TableKey(), raw, condition))
+}
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -23,7 +23,12 @@
 	"vanillalug.example/schedule"
 )
 
-const shutdownTimeout = 2 * time.Second
+const (
+	shutdownTimeout = 2 * time.Second
+	// hardLimitFactor is the multiple of a limit at which the server closes the
+	// connection without a problem.
+	hardLimitFactor = 2
+)
 
 // listeners are the three servers of a router.
 type listeners struct {
@@ -43,7 +48,10 @@
 	o := newOffice(cfg, follows, clock, log)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	handlers.NewCallers(o, cfg.MaxBody()).Register(l.callers)
+	limits := handlers.Limits{
+		Body: cfg.MaxBody(), Header: cfg.MaxHeader(), Conns: cfg.MaxConns(), Open: l.callers.OpenConns,
+	}
+	handlers.NewCallers(o, limits).Register(l.callers)
 	handlers.NewPeers(o, clock, cfg.PeerKey(), cfg.MaxBody()).Register(l.peers)
 	handlers.NewOperators(o, cfg.OperatorKey(), func() { stop <- syscall.SIGTERM }).Register(l.operators)
 	failed := l.serve()
@@ -82,8 +90,8 @@
 
 func listen(cfg *settings.Settings) (*listeners, error) {
 	opts := []reception.ServerOption{
-		reception.WithMaxConns(cfg.MaxConns()),
-		reception.WithMaxHeaderBytes(cfg.MaxHeader()),
+		reception.WithMaxConns(hardLimitFactor * cfg.MaxConns()),
+		reception.WithMaxHeaderBytes(hardLimitFactor * cfg.MaxHeader()),
 	}
 	l := &listeners{}
 	for _, s := range []struct {
--- a/cmd/vanillalug/call.go
+++ b/cmd/vanillalug/call.go
@@ -58,6 +58,20 @@
 	return true
 }
 
+// begin parses the flags and reads the operator's settings. It reports whether
+// the command may go on.
+func (c *call) begin(args int) (*operatorSettings, bool) {
+	if !c.parse(args) {
+		return nil, false
+	}
+	cfg, err := loadSettings(c.settings)
+	if err != nil {
+		c.fail(exitUsage, err)
+		return nil, false
+	}
+	return cfg, true
+}
+
 // fail prints an error and returns the exit code.
 func (c *call) fail(code int, err error) int {
 	var faults *form.FaultsError
--- a/cmd/vanillalug/claims.go
+++ b/cmd/vanillalug/claims.go
@@ -44,13 +44,10 @@
 	c.withJSON()
 	workspace := c.flags.String("workspace", "", "only claims of this workspace")
 	older := c.flags.Duration("older", time.Minute, "only claims older than this")
-	if !c.parse(0) {
+	cfg, ok := c.begin(0)
+	if !ok {
 		return exitUsage
 	}
-	cfg, err := loadSettings(c.settings)
-	if err != nil {
-		return c.fail(exitUsage, err)
-	}
 	ctx, done := context.WithTimeout(context.Background(), commandTimeout)
 	defer done()
 	rows, err := openClaims(ctx, newPlatform(cfg), *workspace, time.Now().Add(-*older))
--- a/cmd/vanillalug/history.go
+++ b/cmd/vanillalug/history.go
@@ -22,13 +22,10 @@
 func runHistory(c *call) int {
 	c.withSettings()
 	c.withJSON()
-	if !c.parse(0) {
+	cfg, ok := c.begin(0)
+	if !ok {
 		return exitUsage
 	}
-	cfg, err := loadSettings(c.settings)
-	if err != nil {
-		return c.fail(exitUsage, err)
-	}
 	ctx, done := context.WithTimeout(context.Background(), commandTimeout)
 	defer done()
 	records, err := newVersions(newPlatform(cfg)).history(ctx)
--- a/cmd/vanillalug/status.go
+++ b/cmd/vanillalug/status.go
@@ -38,13 +38,10 @@
 func runStatus(c *call) int {
 	c.withSettings()
 	c.withJSON()
-	if !c.parse(0) {
+	cfg, ok := c.begin(0)
+	if !ok {
 		return exitUsage
 	}
-	cfg, err := loadSettings(c.settings)
-	if err != nil {
-		return c.fail(exitUsage, err)
-	}
 	ctx, done := context.WithTimeout(context.Background(), statusTimeout)
 	defer done()
 	s, err := askStatus(ctx, cfg)
--- a/dispatch/load_view.go
+++ b/dispatch/load_view.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -91,11 +93,7 @@
 }
 
 func (v *LoadView) shard(target string) *loadShard {
-	h := uint32(2166136261)
-	for i := range len(target) {
-		h = (h ^ uint32(target[i])) * 16777619
-	}
-	return &v.shards[h%loadShards]
+	return &v.shards[xxhash.Sum64String(target)%loadShards]
 }
 
 // Sample returns up to n loads: half of them the newest, the others picked at
