--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -46,16 +46,12 @@
 // EngineRestarted says that the engine has lost its cache.
 type EngineRestarted struct{}
 
-// EngineGone says that another engine serves no more chats.
-type EngineGone struct{ Engine string }
-
 func (Asked) keeperEvent()           {}
 func (Settled) keeperEvent()         {}
 func (Sent) keeperEvent()            {}
 func (CacheChanged) keeperEvent()    {}
 func (CacheSynced) keeperEvent()     {}
 func (EngineRestarted) keeperEvent() {}
-func (EngineGone) keeperEvent()      {}
 
 // CacheChange says that a chat's prefix was stored or evicted.
 type CacheChange struct {
--- a/dispatch/keeper.go
+++ b/dispatch/keeper.go
@@ -46,8 +46,6 @@
 		k.chats.dropEngine(here)
 		k.complete = false
 		return []Effect{Resync{}}
-	case EngineGone:
-		k.chats.dropEngine(e.Engine)
 	}
 	return nil
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -110,18 +110,6 @@
 	return *m, true
 }
 
-// Admitting returns the names of the members that may admit for engines:
-// those alive or suspected. A leaving member admits nothing new.
-func (r *Roster) Admitting() []string {
-	var out []string
-	for _, m := range r.Members() {
-		if m.state == Alive || m.state == Suspect {
-			out = append(out, m.name)
-		}
-	}
-	return out
-}
-
 // Updates returns the statements to send with the next message to a peer. A
 // peer that is not believed alive is told so, that it can refute.
 func (r *Roster) Updates(to string) []Member {
