--- a/cmd/measure/fleet_command.go
+++ b/cmd/measure/fleet_command.go
@@ -12,6 +12,7 @@
 
 	"vanillalug.example/cmd/demo/stage"
 	"vanillalug.example/cmd/load/traffic"
+	"vanillalug.example/cmd/measure/path"
 )
 
 const (
@@ -26,8 +27,8 @@
 
 // runFleet measures a fleet of today's size: a load of returning chats, the
 // time from a publication until it is in force everywhere, the time from the
-// word that an engine leaves to its last new request, and a rolling
-// replacement of every router under load.
+// word that an engine leaves to its last new request, a rolling replacement of
+// the routers under load, and the loss of half of the engines.
 func runFleet(flags *flag.FlagSet, args []string) error {
 	bin := flags.String("bin", "bin", "folder with the programs")
 	seed := flags.Uint64("seed", 1, "seed")
@@ -40,7 +41,7 @@
 	}
 	return onStage(ctx, *bin, opts, func(s *stage.Stage) error {
 		for _, step := range []func(context.Context, *stage.Stage, uint64) error{
-			fleetLoad, fleetPublications, fleetLeaving, fleetReplacement,
+			fleetLoad, fleetPublications, fleetLeaving, fleetReplacement, fleetCollapse,
 		} {
 			if err := step(ctx, s, *seed); err != nil {
 				return err
@@ -175,6 +176,43 @@
 	return nil
 }
 
+// fleetCollapse kills half of the engines under load and counts the retries.
+func fleetCollapse(ctx context.Context, s *stage.Stage, seed uint64) error {
+	before, err := retriesSent(ctx, s)
+	if err != nil {
+		return err
+	}
+	done := make(chan *traffic.Report, 1)
+	go func() { done <- traffic.Run(ctx, fleetPlan(seed+3, s.Addresses("r", ""), fleetTime)) }()
+	time.Sleep(fleetTime / 4)
+	for i := range fleetEngines / 2 {
+		if err := s.Signal(fmt.Sprintf("e%d", 2*i+1), syscall.SIGKILL); err != nil {
+			return err
+		}
+	}
+	r := <-done
+	after, err := retriesSent(ctx, s)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d of %d engines killed under load: %d of %d answers whole, states %v, problems %v, %.3f attempts a request\n",
+		fleetEngines/2, fleetEngines, r.Whole, r.Sent, r.RunStates, r.Problems, 1+(after-before)/float64(r.Sent))
+	return nil
+}
+
+// retriesSent sums the retries that all routers have sent.
+func retriesSent(ctx context.Context, s *stage.Stage) (float64, error) {
+	sum := 0.0
+	for i := range fleetRouters {
+		n, err := path.Counter(ctx, s, fmt.Sprintf("r%d", i+1), `vanillalug_retries_total{result="sent"}`)
+		if err != nil {
+			return 0, err
+		}
+		sum += n
+	}
+	return sum, nil
+}
+
 func replaceRouter(ctx context.Context, s *stage.Stage, name string) error {
 	p, err := s.Process(name)
 	if err != nil {
--- a/cmd/router/office/admit.go
+++ b/cmd/router/office/admit.go
@@ -62,7 +62,11 @@
 	if !o.register.Fit() && !q.Resume {
 		return nil, AdmitterOut{Reason: "rules level", Unsent: true}
 	}
-	return o.register.Fleet(), nil
+	f := o.register.Fleet()
+	if f == nil {
+		return nil, AdmitterOut{Reason: "no fleet document", Unsent: true}
+	}
+	return f, nil
 }
 
 // post returns the post of the engine. A new one first asks the engine for its
