Store the started server atomically

Cause: the scenarios with a router built with the race detector found one race: a router told to stop right after its start read the server that another goroutine was setting. Change: an atomic pointer. Ruled out: a lock, which the connection counter would need too.

--- a/reception/server.go
+++ b/reception/server.go
@@ -28,7 +28,7 @@
 type Server struct {
 	name    string
 	server  *rest.Server
-	http    *http.Server
+	http    atomic.Pointer[http.Server]
 	opts    serverOptions
 	open    atomic.Int64
 	refused atomic.Int64
@@ -111,10 +111,11 @@
 
 // Shutdown takes no new connections and waits for the requests in progress.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if s.http == nil {
+	h := s.http.Load()
+	if h == nil {
 		return nil
 	}
-	return s.http.Shutdown(ctx)
+	return h.Shutdown(ctx)
 }
 
 // OpenConns returns the number of open connections.
@@ -128,7 +129,7 @@
 	h.ReadHeaderTimeout = s.opts.headerTimeout
 	h.IdleTimeout = s.opts.idleTimeout
 	h.ConnState = s.count
-	s.http = h
+	s.http.Store(h)
 }
 
 func (s *Server) count(c net.Conn, state http.ConnState) {
