--- a/cmd/demo/scenario_commands_test.go
+++ b/cmd/demo/scenario_commands_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -319,3 +320,29 @@
 	ts.Check(err)
 	time.Sleep(d)
 }
+
+// cmdPost posts an empty body to a process: post NAME PATH
+func cmdPost(ts *testscript.TestScript, _ bool, args []string) {
+	w := parse(ts, args, 2)
+	ts.Check(sceneOf(ts).stage.Post(w.plain[0], w.plain[1], ""))
+}
+
+// cmdRacePublish publishes documents at the same time from the same base and
+// checks that one is accepted and each other one conflicts:
+// race-publish BASE DOCUMENT DOCUMENT ...
+func cmdRacePublish(ts *testscript.TestScript, _ bool, args []string) {
+	s := sceneOf(ts).stage
+	outs := make([]string, len(args)-1)
+	var wg sync.WaitGroup
+	for i, doc := range args[1:] {
+		wg.Go(func() {
+			outs[i], _ = s.Operate(context.Background(), "publish", "-base", args[0], "-reason", doc, doc)
+		})
+	}
+	wg.Wait()
+	all := strings.Join(outs, "")
+	published, conflicts := strings.Count(all, "published version"), strings.Count(all, "conflict: ")
+	if published != 1 || conflicts != len(outs)-1 {
+		ts.Fatalf("%d published, %d conflicts:\n%s", published, conflicts, all)
+	}
+}
--- a/cmd/demo/scenario_test.go
+++ b/cmd/demo/scenario_test.go
@@ -66,6 +66,8 @@
 			"start-engine":  cmdStartEngine,
 			"wait-exit":     cmdWaitExit,
 			"operate":       cmdOperate,
+			"race-publish":  cmdRacePublish,
+			"post":          cmdPost,
 			"await-status":  cmdAwaitStatus,
 			"await-metric":  cmdAwaitMetric,
 			"metric":        cmdMetric,
--- a/cmd/measure/fleet_command.go
+++ b/cmd/measure/fleet_command.go
@@ -171,11 +171,29 @@
 	}
 	took := time.Since(begun)
 	r := <-done
+	if err := replaceFirst(ctx, s, seed); err != nil {
+		return err
+	}
 	fmt.Printf("%d routers replaced one after the other in %s under load: %d of %d answers whole, reuse %.3f, states %v\n",
 		fleetRouters-1, took.Round(time.Second), r.Whole, r.Sent, r.Reuse, r.RunStates)
 	return nil
 }
 
+// replaceFirst replaces the first router under a load through the second.
+func replaceFirst(ctx context.Context, s *stage.Stage, seed uint64) error {
+	done := make(chan *traffic.Report, 1)
+	go func() {
+		done <- traffic.Run(context.Background(), fleetPlan(seed+4, []string{s.Address("r2")}, 6*time.Second))
+	}()
+	time.Sleep(time.Second)
+	if err := replaceRouter(ctx, s, "r1"); err != nil {
+		return err
+	}
+	r := <-done
+	fmt.Printf("the first router replaced under load: %d of %d answers whole\n", r.Whole, r.Sent)
+	return nil
+}
+
 // fleetCollapse kills half of the engines under load and counts the retries.
 func fleetCollapse(ctx context.Context, s *stage.Stage, seed uint64) error {
 	before, err := retriesSent(ctx, s)
--- a/cmd/standin/store/store.go
+++ b/cmd/standin/store/store.go
@@ -28,6 +28,7 @@
 	panel   *fault.Panel
 	rows    map[string]platform.Row
 	stale   map[string]platform.Row
+	copied  map[string]platform.Row
 	objects map[string][]byte
 	vms     []platform.VMBody
 	// vmsChanges counts the changes of the list.
@@ -66,6 +67,8 @@
 	server.Handle(http.MethodGet, "/vms", s.guard(s.listVMs))
 	server.Handle(http.MethodPost, "/vms", s.setVMs)
 	server.Handle(http.MethodGet, "/counts", s.getCounts)
+	server.Handle(http.MethodPost, "/copy", s.copyRows)
+	server.Handle(http.MethodPost, "/restore", s.restoreRows)
 }
 
 func (s *Store) guard(next http.HandlerFunc) http.HandlerFunc {
@@ -255,6 +258,22 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// copyRows keeps a copy of the table.
+func (s *Store) copyRows(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied = maps.Clone(s.rows)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// restoreRows puts the table back to the copy.
+func (s *Store) restoreRows(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = maps.Clone(s.copied)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Store) getCounts(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	c := s.counts
