--- a/cmd/demo/demonstration.go
+++ b/cmd/demo/demonstration.go
@@ -127,18 +127,32 @@
 	return total
 }
 
-// engineLeaves takes an engine out while a stream runs on it.
-func (d *demonstration) engineLeaves(ctx context.Context) {
+// startStream starts a turn and returns when its first tokens are there, or
+// when it has ended without them.
+func (d *demonstration) startStream(ctx context.Context, turn caller.Turn) <-chan caller.Result {
+	const firstTokens = 5
 	result := make(chan caller.Result, 1)
 	started := make(chan struct{})
-	turn := d.request("r1", "long-chat", 0, 150)
 	turn.OnToken = func(n int) {
-		if n == 5 {
+		if n == firstTokens {
 			close(started)
 		}
 	}
-	go func() { result <- d.caller.Chat(ctx, turn) }()
-	<-started
+	ended := make(chan struct{})
+	go func() {
+		result <- d.caller.Chat(ctx, turn)
+		close(ended)
+	}()
+	select {
+	case <-started:
+	case <-ended:
+	}
+	return result
+}
+
+// engineLeaves takes an engine out while a stream runs on it.
+func (d *demonstration) engineLeaves(ctx context.Context) {
+	result := d.startStream(ctx, d.request("r1", "long-chat", 0, 150))
 	engine := d.busyEngine()
 	out, err := d.stage.Operate(ctx, "drain", "-engine", engine, "-wait", "10s")
 	d.check(err == nil, "engine %s is leaving: %.40q", engine, out)
@@ -178,16 +192,7 @@
 
 // routerStops stops a router while a stream runs through it.
 func (d *demonstration) routerStops(ctx context.Context) {
-	result := make(chan caller.Result, 1)
-	started := make(chan struct{})
-	turn := d.request("r2", "stopping-chat", 0, 200)
-	turn.OnToken = func(n int) {
-		if n == 5 {
-			close(started)
-		}
-	}
-	go func() { result <- d.caller.Chat(ctx, turn) }()
-	<-started
+	result := d.startStream(ctx, d.request("r2", "stopping-chat", 0, 200))
 	err := d.stage.Signal("r2", syscall.SIGTERM)
 	d.check(err == nil, "router r2 was told to stop in the middle of a stream")
 	r := <-result
--- a/reception/server.go
+++ b/reception/server.go
@@ -26,12 +26,11 @@
 
 // Server is one HTTP listener.
 type Server struct {
-	name    string
-	server  *rest.Server
-	http    atomic.Pointer[http.Server]
-	opts    serverOptions
-	open    atomic.Int64
-	refused atomic.Int64
+	name   string
+	server *rest.Server
+	http   atomic.Pointer[http.Server]
+	opts   serverOptions
+	open   atomic.Int64
 }
 
 type serverOptions struct {
@@ -121,9 +120,6 @@
 // OpenConns returns the number of open connections.
 func (s *Server) OpenConns() int64 { return s.open.Load() }
 
-// RefusedConns returns the number of connections closed over the limit.
-func (s *Server) RefusedConns() int64 { return s.refused.Load() }
-
 func (s *Server) configure(h *http.Server) {
 	h.MaxHeaderBytes = s.opts.maxHeaderBytes
 	h.ReadHeaderTimeout = s.opts.headerTimeout
@@ -136,7 +132,6 @@
 	switch state {
 	case http.StateNew:
 		if s.open.Add(1) > int64(s.opts.maxConns) {
-			s.refused.Add(1)
 			_ = c.Close()
 		}
 	case http.StateClosed, http.StateHijacked:
