--- /dev/null
+++ b/allowance/window.go
@@ -0,0 +1,78 @@
+package allowance
+
+import (
+	"sync"
+	"time"
+)
+
+// windowBuckets is the number of steps in which a Window slides.
+const windowBuckets = 10
+
+// Window bounds the repeated sends for each service in any span of a length:
+// a share of the service's requests in that span and a fixed extra, of which
+// this router has its part. It is safe for concurrent use.
+type Window struct {
+	mu       sync.Mutex
+	start    time.Time
+	step     time.Duration
+	ratio    float64
+	extra    float64
+	services map[string]*usage
+}
+
+type usage struct {
+	at       int64
+	requests [windowBuckets]int
+	repeats  [windowBuckets]int
+}
+
+// NewWindow returns a Window for spans of the length. The extra is that of all
+// routers together.
+func NewWindow(length time.Duration, ratio, extra float64) *Window {
+	return &Window{step: length / windowBuckets, ratio: ratio, extra: extra, services: map[string]*usage{}}
+}
+
+// Request counts a request for the service.
+func (w *Window) Request(service string, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := w.usage(service, now)
+	u.requests[u.at%windowBuckets]++
+}
+
+// Spend reports whether a repeated send to the service is allowed, and counts
+// it. The number of routers shares the extra.
+func (w *Window) Spend(service string, routers int, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := w.usage(service, now)
+	requests, repeats := 0, 0
+	for i := range windowBuckets {
+		requests += u.requests[i]
+		repeats += u.repeats[i]
+	}
+	if float64(repeats+1) > w.ratio*float64(requests)+w.extra/float64(max(routers, 1)) {
+		return false
+	}
+	u.repeats[u.at%windowBuckets]++
+	return true
+}
+
+// usage returns the usage of the service with the steps that have passed cleared.
+func (w *Window) usage(service string, now time.Time) *usage {
+	if w.start.IsZero() {
+		w.start = now
+	}
+	at := int64(now.Sub(w.start) / w.step)
+	u, ok := w.services[service]
+	if !ok {
+		u = &usage{at: at}
+		w.services[service] = u
+	}
+	for i := max(u.at+1, at-windowBuckets+1); i <= at; i++ {
+		u.requests[i%windowBuckets] = 0
+		u.repeats[i%windowBuckets] = 0
+	}
+	u.at = max(u.at, at)
+	return u
+}
--- a/cmd/demo/stage/stage.go
+++ b/cmd/demo/stage/stage.go
@@ -17,7 +17,7 @@
 	"syscall"
 	"time"
 
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 )
 
 const (
@@ -38,7 +38,7 @@
 	mu        sync.Mutex
 	addresses map[string]string
 	processes map[string]*Process
-	vms       []platform.VMBody
+	vms       []depot.VMBody
 }
 
 // New prepares a fleet. The folder dir takes its files, the folder bin has the
@@ -155,16 +155,16 @@
 	s.vms = nil
 	for i := range s.plan.routers {
 		name := fmt.Sprintf("r%d", i+1)
-		s.vms = append(s.vms, platform.VMBody{Name: name, Role: platform.RoleRouter, Address: s.Address(name + "/peers"), Place: placeOf(i)})
+		s.vms = append(s.vms, depot.VMBody{Name: name, Role: depot.RoleRouter, Address: s.Address(name + "/peers"), Place: placeOf(i)})
 	}
 	for i := range s.plan.engines {
 		name := fmt.Sprintf("e%d", i+1)
-		s.vms = append(s.vms, platform.VMBody{Name: name, Role: "engine", Address: s.Address(name), Place: placeOf(i)})
+		s.vms = append(s.vms, depot.VMBody{Name: name, Role: "engine", Address: s.Address(name), Place: placeOf(i)})
 	}
 	for i := range s.plan.workers {
 		for _, kind := range []string{"b", "l"} {
 			name := fmt.Sprintf("%s%d", kind, i+1)
-			s.vms = append(s.vms, platform.VMBody{Name: name, Role: "worker", Address: s.Address(name), Place: placeOf(i)})
+			s.vms = append(s.vms, depot.VMBody{Name: name, Role: "worker", Address: s.Address(name), Place: placeOf(i)})
 		}
 	}
 	return s.postVMs()
@@ -172,7 +172,7 @@
 
 // SetLeaving changes the platform's list of VMs.
 func (s *Stage) SetLeaving(name string, leaving bool) error {
-	i := slices.IndexFunc(s.vms, func(v platform.VMBody) bool { return v.Name == name })
+	i := slices.IndexFunc(s.vms, func(v depot.VMBody) bool { return v.Name == name })
 	if i < 0 {
 		return fmt.Errorf("Stage.SetLeaving: %s: is not on the list", name)
 	}
@@ -181,7 +181,7 @@
 }
 
 func (s *Stage) postVMs() error {
-	raw, err := json.Marshal(platform.VMsBody{VMs: s.vms})
+	raw, err := json.Marshal(depot.VMsBody{VMs: s.vms})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/router/deployment.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"vanillalug.example/cmd/router/gateway"
+	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/cmd/router/settings"
+	"vanillalug.example/platform"
+	"vanillalug.example/reception"
+	"vanillalug.example/schedule"
+)
+
+const (
+	// entryHeaderTimeout is how long a caller may take for a header.
+	entryHeaderTimeout = 5 * time.Second
+	// entryIdleTimeout is longer than callers leave a connection idle.
+	entryIdleTimeout = time.Minute
+	entryMaxHeader   = 64 << 10
+	entryMaxConns    = 2000
+	storeConnect     = time.Second
+	storeKeepAlive   = time.Second
+	// memoryShare is the part of the memory at which the collector works harder.
+	memoryShare = 0.7
+	gcPercent   = 60
+	// leaveMargin is kept from the end of the grace time.
+	leaveMargin = 600 * time.Millisecond
+	// balancerTime is how long the balancer may go on to send new connections.
+	balancerTime  = 3 * time.Second
+	leaveInterval = 50 * time.Millisecond
+)
+
+// serveDeployment runs a router on the users' platform until it is told to stop.
+func serveDeployment(file string, cfg *settings.Deployment) int {
+	log := reception.NewLogger("router", cfg.LogLevel(), true, os.Stdout).With("router", cfg.Name())
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(float64(cfg.Memory()<<20) * memoryShare))
+	clock := schedule.NewSystem()
+	client := reception.NewClient("store",
+		reception.WithConnectTimeout(storeConnect), reception.WithKeepAlive(storeKeepAlive, storeKeepAlive))
+	g := gateway.New(gateway.Config{
+		Name: cfg.Name(), Place: cfg.Place(), PeerAddress: cfg.Peers(),
+		RetryRatio: cfg.RetryRatio(), RetryExtra: cfg.RetryExtra(), RetryWindow: cfg.RetryWindow(),
+		Grace: cfg.Grace(),
+	}, clock, log, platform.NewStore(client, cfg.Store()))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	entry, failed, err := listenDeployment(cfg, g)
+	if err != nil {
+		log.Error("cannot listen", "error", err)
+		return exitFailure
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if err := g.Run(ctx); err != nil {
+		log.Error("cannot start", "error", err)
+		return exitFailure
+	}
+	log.Info("started", "entry", cfg.Entry(), "place", cfg.Place(), "build", build)
+	for {
+		select {
+		case err := <-failed:
+			log.Error("a listener failed", "error", err)
+			return exitFailure
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				reload(file, log)
+				continue
+			}
+			return leaveDeployment(cfg, g, entry, log)
+		}
+	}
+}
+
+func listenDeployment(cfg *settings.Deployment, g *gateway.Gateway) (*reception.Server, chan error, error) {
+	entry, err := reception.NewServer("entry", cfg.Entry(), reception.WithHandler(g),
+		reception.WithMaxHeaderBytes(entryMaxHeader), reception.WithMaxConns(entryMaxConns),
+		reception.WithTimeouts(entryHeaderTimeout, entryIdleTimeout))
+	if err != nil {
+		return nil, nil, err
+	}
+	ready, err := reception.NewServer("ready", cfg.Ready(), reception.WithHandler(readiness(g)))
+	if err != nil {
+		return nil, nil, err
+	}
+	metrics, err := reception.NewServer("metrics", cfg.Metrics(), reception.WithHandler(
+		http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { meter.Write(w) })))
+	if err != nil {
+		return nil, nil, err
+	}
+	failed := make(chan error, 3)
+	for _, s := range []*reception.Server{entry, ready, metrics} {
+		go func() { failed <- s.Serve() }()
+	}
+	return entry, failed, nil
+}
+
+func readiness(g *gateway.Gateway) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !g.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// reload reads the settings again. A file with faults changes nothing.
+func reload(file string, log hclog.Logger) {
+	cfg, err := settings.LoadDeployment(file)
+	if err != nil {
+		log.Error("settings not reloaded; the ones in force stay", "error", err)
+		return
+	}
+	log.SetLevel(hclog.LevelFromString(cfg.LogLevel()))
+	log.Info("settings reloaded", "log-level", cfg.LogLevel())
+}
+
+// leaveDeployment takes what still comes and ends when every request is
+// answered, or just before the grace time is over.
+func leaveDeployment(cfg *settings.Deployment, g *gateway.Gateway, entry *reception.Server, log hclog.Logger) int {
+	start := time.Now()
+	g.Stop()
+	log.Info("told to stop", "open", g.Open())
+	for {
+		time.Sleep(leaveInterval)
+		gone := time.Since(start)
+		if gone >= cfg.Grace()-leaveMargin || gone >= balancerTime && g.Open() == 0 {
+			break
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveMargin/2)
+	defer cancel()
+	if err := entry.Shutdown(ctx); err != nil {
+		log.Warn("stopped with open requests", "open", g.Open(), "error", err)
+		return exitCut
+	}
+	log.Info("stopped")
+	return 0
+}
--- /dev/null
+++ b/cmd/router/gateway/gateway.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"vanillalug.example/allowance"
+	"vanillalug.example/crew"
+	"vanillalug.example/fitting"
+	"vanillalug.example/plan"
+	"vanillalug.example/platform"
+	"vanillalug.example/schedule"
+)
+
+// Config is what a Gateway is told of its deployment.
+type Config struct {
+	// Name is the unique name of the VM.
+	Name string
+	// Place is the failure domain.
+	Place string
+	// PeerAddress is where peers reach this router, over TCP and UDP.
+	PeerAddress string
+	// RetryRatio is the share of a service's requests that may be sent again.
+	RetryRatio float64
+	// RetryExtra is what all routers together may send again besides.
+	RetryExtra float64
+	// RetryWindow is the span in which repeated sends are counted.
+	RetryWindow time.Duration
+	// Grace is the time from SIGTERM to the end.
+	Grace time.Duration
+}
+
+// Gateway is one router's state on the platform.
+type Gateway struct {
+	cfg    Config
+	clock  schedule.Clock
+	log    hclog.Logger
+	store  *platform.Store
+	board  *fitting.Board
+	budget *allowance.Window
+	peers  *peers
+
+	plan    atomic.Pointer[planned]
+	targets atomic.Pointer[targets]
+
+	bookMu sync.Mutex
+	book   *crew.Book
+
+	stopping atomic.Bool
+	open     atomic.Int64
+	seed     atomic.Uint64
+}
+
+// planned is the routing table in force with the text that it was read from,
+// which peers may ask for.
+type planned struct {
+	plan *plan.Plan
+	raw  []byte
+}
+
+// New returns a Gateway that knows nothing yet.
+func New(cfg Config, clock schedule.Clock, log hclog.Logger, store *platform.Store) *Gateway {
+	g := &Gateway{
+		cfg: cfg, clock: clock, log: log, store: store,
+		board:  fitting.NewBoard(),
+		budget: allowance.NewWindow(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
+		book:   crew.NewBook(),
+	}
+	g.targets.Store(&targets{byService: map[string][]*post{}, byLifetime: map[string]*post{}})
+	g.peers = newPeers(cfg.Name, clock)
+	return g
+}
+
+// Run watches the store and talks to peers until the context ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	if err := g.listenPeers(ctx); err != nil {
+		return err
+	}
+	go g.watchPlan(ctx)
+	go g.watchTargets(ctx)
+	go g.announce(ctx)
+	stops := []func(){
+		g.clock.Every(shareInterval, g.shareLoads),
+		g.clock.Every(tidyInterval, g.tidy),
+	}
+	context.AfterFunc(ctx, func() {
+		for _, stop := range stops {
+			stop()
+		}
+	})
+	return nil
+}
+
+// Ready reports whether new connections are welcome.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.plan.Load() != nil && len(g.targets.Load().byLifetime) > 0
+}
+
+// Open returns the number of requests in progress.
+func (g *Gateway) Open() int64 { return g.open.Load() }
+
+// Stop makes the router unready; requests that still come are served.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
--- /dev/null
+++ b/cmd/router/gateway/stream.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+)
+
+// streamBuffer is the size of the buffer for events, in bytes.
+const streamBuffer = 2 << 10
+
+// stream sends events on as they come. A stream that breaks off goes on at
+// another target where the route allows it.
+func (t *trip) stream(ctx context.Context, p *post, o answered, first func()) bool {
+	if !t.answering {
+		o.answer.Copy(t.w.Header())
+	}
+	err := t.copyEvents(o, first)
+	t.finish(o, err)
+	if err == nil {
+		if !t.answering {
+			t.w.WriteHeader(o.answer.Status())
+		}
+		p.succeeded()
+		t.logEnd(o.answer.Status(), "answered", nil)
+		return false
+	}
+	var caller *callerError
+	if errors.As(err, &caller) || t.r.Context().Err() != nil {
+		t.breakOff("caller is gone", err)
+	}
+	t.logAttempt("stream broke off after event "+t.lastEvent, err)
+	if ctx.Err() == nil {
+		p.failed(t.g.clock.Now())
+	}
+	if t.route.Repeatable() && t.mayRepeat() {
+		return true
+	}
+	t.giveUp(&refusal{status: http.StatusBadGateway, reason: "stream broke off", cause: err})
+	return false
+}
+
+// callerError says that the caller can't be written to.
+type callerError struct{ cause error }
+
+// Error implements error.
+func (e *callerError) Error() string { return "caller: " + e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *callerError) Unwrap() error { return e.cause }
+
+// copyEvents sends whole events on until the end of the stream. An event that
+// is not whole is dropped.
+func (t *trip) copyEvents(o answered, first func()) error {
+	flush := http.NewResponseController(t.w)
+	events := newEventBuffer(streamBuffer)
+	for {
+		n, err := o.response.Body.Read(events.room())
+		whole := events.add(n)
+		if len(whole) > 0 {
+			first()
+			if !t.answering {
+				t.answering = true
+				t.w.WriteHeader(o.answer.Status())
+			}
+			if _, err := t.w.Write(whole); err != nil {
+				return &callerError{cause: err}
+			}
+			if err := flush.Flush(); err != nil {
+				return &callerError{cause: err}
+			}
+			if id := lastID(whole); id != "" {
+				t.lastEvent = id
+			}
+			events.drop(len(whole))
+		}
+		if errors.Is(err, io.EOF) {
+			if events.pending() > 0 {
+				return io.ErrUnexpectedEOF
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/cmd/router/gateway/trip.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"vanillalug.example/fitting"
+	"vanillalug.example/plan"
+	"vanillalug.example/platform"
+)
+
+const (
+	// maxConnects bounds the targets that are tried in vain for a connection.
+	maxConnects = 4
+	// fullRetry is when a caller may come back to a service that is full.
+	fullRetry = 400 * time.Millisecond
+)
+
+// trip is one request on its way through the router.
+type trip struct {
+	g   *Gateway
+	w   http.ResponseWriter
+	r   *http.Request
+	req *platform.Request
+
+	plan      *plan.Plan
+	route     *plan.Route
+	workspace string
+	priority  int
+	service   string
+	body      []byte
+	start     time.Time
+	deadline  time.Time
+
+	// sends counts the targets that may have received the request.
+	sends    int
+	connects int
+	tried    map[fitting.Key]bool
+	// ran says that a target may have run the request.
+	ran bool
+	// lastEvent is the id of the last event that the caller has.
+	lastEvent string
+	// answering says that the head of a target's answer was sent on.
+	answering bool
+	target    string
+}
+
+// run sends the request to targets until one answers or nothing is left to try.
+func (t *trip) run() {
+	t.tried = map[fitting.Key]bool{}
+	t.lastEvent = t.req.LastEvent()
+	t.g.budget.Request(t.service, t.start)
+	ctx, cancel := context.WithDeadline(t.r.Context(), t.deadline)
+	defer cancel()
+	for {
+		p, refused := t.choose()
+		if refused != nil {
+			t.giveUp(refused)
+			return
+		}
+		if !t.attempt(ctx, p) {
+			return
+		}
+	}
+}
+
+// choose picks the next target, or says why there is none.
+func (t *trip) choose() (*post, *refusal) {
+	now := t.g.clock.Now()
+	posts := t.g.targets.Load().byService[t.service]
+	keys := make([]fitting.Key, len(posts))
+	for i, p := range posts {
+		keys[i] = p.key
+	}
+	loads := t.g.board.Loads(keys, now)
+	candidates := make([]fitting.Candidate, len(posts))
+	for i, p := range posts {
+		candidates[i] = fitting.Candidate{
+			Target: p.target, Load: loads[i], Suspect: p.suspect(now), Tried: t.tried[p.key],
+		}
+	}
+	q := fitting.Question{Work: t.req.Work(), Place: t.g.cfg.Place, Random: t.g.seed.Add(1)}
+	if s, ok := t.plan.Service(t.service); ok && s.Engine() != nil {
+		q.Slots = s.Engine().Slots()
+	}
+	switch v := fitting.Choose(q, candidates).(type) {
+	case fitting.Chosen:
+		return posts[v.Index], nil
+	case fitting.Full:
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: fullRetry}
+	}
+	return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: fullRetry}
+}
+
+// attempt sends the request to a target; it returns true where another target
+// may be tried.
+func (t *trip) attempt(ctx context.Context, p *post) bool {
+	t.tried[p.key] = true
+	t.target = p.target.Lifetime()
+	unread := t.req.Work().Prompt()
+	t.g.board.Add(p.key, 1, unread)
+	read := false
+	first := func() {
+		if !read {
+			read = true
+			t.g.board.Add(p.key, 0, -unread)
+		}
+	}
+	defer func() {
+		first()
+		t.g.board.Add(p.key, -1, 0)
+	}()
+	switch o := t.exchange(ctx, p).(type) {
+	case neverSent:
+		return t.afterNeverSent(p, o)
+	case notRun:
+		return t.afterNotRun(p, o)
+	case noAnswer:
+		return t.afterNoAnswer(ctx, p, o)
+	case answered:
+		return t.afterAnswer(ctx, p, o, first)
+	}
+	return false
+}
+
+func (t *trip) afterNeverSent(p *post, o neverSent) bool {
+	t.connects++
+	p.failed(t.g.clock.Now())
+	t.logAttempt("not sent", o.cause)
+	if t.connects >= maxConnects || t.over() {
+		t.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "no connection", retryAfter: fullRetry, cause: o.cause})
+		return false
+	}
+	return true
+}
+
+func (t *trip) afterNotRun(p *post, o notRun) bool {
+	t.logAttempt("not run", nil)
+	if o.status == http.StatusMisdirectedRequest {
+		p.failed(t.g.clock.Now())
+	}
+	if t.mayRepeat() {
+		return true
+	}
+	t.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "target is full", retryAfter: fullRetry})
+	return false
+}
+
+func (t *trip) afterNoAnswer(ctx context.Context, p *post, o noAnswer) bool {
+	t.ran = true
+	t.logAttempt("no answer", o.cause)
+	if ctx.Err() == nil {
+		p.failed(t.g.clock.Now())
+	}
+	if t.route.Repeatable() && t.mayRepeat() {
+		return true
+	}
+	t.giveUp(&refusal{status: http.StatusBadGateway, reason: "target gave no answer", cause: o.cause})
+	return false
+}
+
+// mayRepeat reports whether the request may be sent to one more target, and
+// takes that from the budget.
+func (t *trip) mayRepeat() bool {
+	now := t.g.clock.Now()
+	if t.sends >= t.route.Attempts() || t.over() {
+		return false
+	}
+	return t.g.budget.Spend(t.service, t.g.board.Peers(now)+1, now)
+}
+
+// over reports whether the caller is gone or its time is up.
+func (t *trip) over() bool {
+	return t.r.Context().Err() != nil || !t.g.clock.Now().Before(t.deadline)
+}
+
+// giveUp ends the request with a failure that is true of everything sent.
+func (t *trip) giveUp(p *refusal) {
+	if t.answering {
+		t.breakOff(p.reason, p.cause)
+	}
+	if t.ran {
+		p.retryAfter = 0
+		p.status = http.StatusBadGateway
+		if !t.g.clock.Now().Before(t.deadline) {
+			p.status = http.StatusGatewayTimeout
+			p.reason = "timeout"
+		}
+	}
+	t.refuse(p)
+}
+
+// breakOff ends an answer that has begun so that it does not look complete.
+func (t *trip) breakOff(reason string, cause error) {
+	t.logEnd(http.StatusOK, "broken off: "+reason, cause)
+	panic(http.ErrAbortHandler)
+}
+
+func hashOf(id string) uint64 { return xxhash.Sum64String(id) }
--- a/cmd/router/main.go
+++ b/cmd/router/main.go
@@ -15,6 +15,7 @@
 const usage = `router stands between callers and targets.
 
     router -settings FILE          serve until told to stop (SIGTERM or SIGINT)
+    router -deployment FILE        the same on the users' platform
     router -settings FILE -check   check the settings and end
     router -version                print the build and the rules levels it can follow
 
@@ -39,6 +40,7 @@
 
 func run() int {
 	file := flag.String("settings", "", "INI file with the settings")
+	deployment := flag.String("deployment", "", "INI file with the settings on the users' platform")
 	check := flag.Bool("check", false, "check the settings and end")
 	version := flag.Bool("version", false, "print the build and end")
 	flag.Usage = func() {
@@ -55,6 +57,13 @@
 		fmt.Printf("router %s, rules levels %s\n", build, follows)
 		return 0
 	}
+	if *deployment != "" {
+		cfg, err := settings.LoadDeployment(*deployment)
+		if err != nil {
+			return reportSettings(err)
+		}
+		return serveDeployment(*deployment, cfg)
+	}
 	cfg, err := settings.Load(*file)
 	if err != nil {
 		return reportSettings(err)
--- a/cmd/router/office/configuration.go
+++ b/cmd/router/office/configuration.go
@@ -8,7 +8,7 @@
 
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/peer"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 	"vanillalug.example/register"
 )
 
@@ -19,7 +19,7 @@
 	ctx, done := background(fetchTimeout)
 	defer done()
 	row, err := o.table.Get(ctx, register.HeadKey)
-	var missing *platform.NotFoundError
+	var missing *depot.NotFoundError
 	if errors.As(err, &missing) {
 		return
 	}
--- a/cmd/router/office/group_writer.go
+++ b/cmd/router/office/group_writer.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"vanillalug.example/cmd/router/meter"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 )
 
 const (
@@ -19,24 +19,24 @@
 // groupWriter sends writes to the table in groups: those that come while a
 // group is under way make up the next one.
 type groupWriter struct {
-	table   platform.Table
+	table   depot.Table
 	mu      sync.Mutex
 	waiting []*groupedWrite
 	busy    bool
 }
 
 type groupedWrite struct {
-	write  platform.Write
-	result platform.Result
+	write  depot.Write
+	result depot.Result
 	err    error
 	done   chan struct{}
 }
 
-func newGroupWriter(table platform.Table) *groupWriter { return &groupWriter{table: table} }
+func newGroupWriter(table depot.Table) *groupWriter { return &groupWriter{table: table} }
 
 // write returns the result of the write. When the context ends first, whether
 // it took effect is not known.
-func (g *groupWriter) write(ctx context.Context, w platform.Write) (platform.Result, error) {
+func (g *groupWriter) write(ctx context.Context, w depot.Write) (depot.Result, error) {
 	x := &groupedWrite{write: w, done: make(chan struct{})}
 	g.mu.Lock()
 	g.waiting = append(g.waiting, x)
@@ -50,7 +50,7 @@
 	case <-x.done:
 		return x.result, x.err
 	case <-ctx.Done():
-		return platform.Result{}, platform.NewUnavailableError("write", true, ctx.Err())
+		return depot.Result{}, depot.NewUnavailableError("write", true, ctx.Err())
 	}
 }
 
@@ -80,7 +80,7 @@
 func (g *groupWriter) send(group []*groupedWrite) {
 	ctx, done := background(groupTimeout)
 	defer done()
-	writes := make([]platform.Write, 0, len(group))
+	writes := make([]depot.Write, 0, len(group))
 	for _, x := range group {
 		writes = append(writes, x.write)
 	}
--- a/cmd/router/office/group_writer_test.go
+++ b/cmd/router/office/group_writer_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillalug.example/ledger"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 	"vanillalug.example/schedule"
 )
 
@@ -20,7 +20,7 @@
 // lose is set it does what it is asked but its answers are lost.
 type fakeTable struct {
 	mu     sync.Mutex
-	rows   map[string]platform.Row
+	rows   map[string]depot.Row
 	groups int
 	writes int
 	out    bool
@@ -30,22 +30,22 @@
 
 var errOut = errors.New("out")
 
-func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]platform.Row{}} }
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]depot.Row{}} }
 
-func (f *fakeTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakeTable) Get(_ context.Context, key string) (depot.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.out {
-		return platform.Row{}, platform.NewUnavailableError("Get", false, errOut)
+		return depot.Row{}, depot.NewUnavailableError("Get", false, errOut)
 	}
 	row, ok := f.rows[key]
 	if !ok {
-		return row, platform.NewNotFoundError(key)
+		return row, depot.NewNotFoundError(key)
 	}
 	return row, nil
 }
 
-func (f *fakeTable) Write(_ context.Context, writes []platform.Write) ([]platform.Result, error) {
+func (f *fakeTable) Write(_ context.Context, writes []depot.Write) ([]depot.Result, error) {
 	if f.wait != nil {
 		<-f.wait
 	}
@@ -54,31 +54,31 @@
 	f.groups++
 	f.writes += len(writes)
 	if f.out {
-		return nil, platform.NewUnavailableError("Write", false, errOut)
+		return nil, depot.NewUnavailableError("Write", false, errOut)
 	}
-	var out []platform.Result
+	var out []depot.Result
 	for _, w := range writes {
 		out = append(out, f.apply(w))
 	}
 	if f.lose {
-		return nil, platform.NewUnavailableError("Write", true, errOut)
+		return nil, depot.NewUnavailableError("Write", true, errOut)
 	}
 	return out, nil
 }
 
-func (f *fakeTable) apply(w platform.Write) platform.Result {
+func (f *fakeTable) apply(w depot.Write) depot.Result {
 	old := f.rows[w.Key()]
-	if !platform.Holds(w.Condition(), old.Revision()) {
-		return platform.NewRefused(old)
+	if !depot.Holds(w.Condition(), old.Revision()) {
+		return depot.NewRefused(old)
 	}
-	row := platform.NewRow(w.Key(), w.Value(), old.Revision()+1)
+	row := depot.NewRow(w.Key(), w.Value(), old.Revision()+1)
 	f.rows[w.Key()] = row
-	return platform.NewWritten(row.Revision())
+	return depot.NewWritten(row.Revision())
 }
 
-func (f *fakeTable) Transact(context.Context, []platform.Write) error { return nil }
+func (f *fakeTable) Transact(context.Context, []depot.Write) error { return nil }
 
-func (f *fakeTable) List(context.Context, string, string, int) ([]platform.Row, error) {
+func (f *fakeTable) List(context.Context, string, string, int) ([]depot.Row, error) {
 	return nil, nil
 }
 
@@ -96,7 +96,7 @@
 	var wg sync.WaitGroup
 	for i := range 129 {
 		wg.Go(func() {
-			r, err := g.write(context.Background(), platform.NewWrite(fmt.Sprint(i), nil, platform.Absent{}))
+			r, err := g.write(context.Background(), depot.NewWrite(fmt.Sprint(i), nil, depot.Absent{}))
 			require.NoError(t, err)
 			require.True(t, r.Written())
 		})
--- a/cmd/router/office/journal.go
+++ b/cmd/router/office/journal.go
@@ -11,7 +11,7 @@
 
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/ledger"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 	"vanillalug.example/schedule"
 )
 
@@ -25,7 +25,7 @@
 // journal keeps the claims of non-idempotent calls in the platform's table.
 type journal struct {
 	clock  schedule.Clock
-	table  platform.Table
+	table  depot.Table
 	log    hclog.Logger
 	writer *groupWriter
 
@@ -42,7 +42,7 @@
 	due       time.Time
 }
 
-func newJournal(clock schedule.Clock, table platform.Table, log hclog.Logger) *journal {
+func newJournal(clock schedule.Clock, table depot.Table, log hclog.Logger) *journal {
 	return &journal{clock: clock, table: table, log: log, writer: newGroupWriter(table)}
 }
 
@@ -69,7 +69,7 @@
 
 func (j *journal) claimFailed(err error) ledger.Event {
 	j.setOut()
-	var out *platform.UnavailableError
+	var out *depot.UnavailableError
 	if errors.As(err, &out) && !out.MaybeDone() {
 		meter.Count("claims", "result", "not-written")
 		return ledger.ClaimNotWritten{}
@@ -83,7 +83,7 @@
 	ctx, done := context.WithTimeout(context.WithoutCancel(ctx), claimTimeout)
 	defer done()
 	row, err := j.table.Get(ctx, key)
-	var missing *platform.NotFoundError
+	var missing *depot.NotFoundError
 	switch {
 	case errors.As(err, &missing):
 		return ledger.ClaimAbsent{}
@@ -93,7 +93,7 @@
 	return claimEvent(row)
 }
 
-func claimEvent(row platform.Row) ledger.Event {
+func claimEvent(row depot.Row) ledger.Event {
 	if row.Revision() == 0 {
 		return ledger.ClaimAbsent{}
 	}
--- a/cmd/router/office/journal_rows.go
+++ b/cmd/router/office/journal_rows.go
@@ -8,7 +8,7 @@
 
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/ledger"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 )
 
 const (
@@ -137,14 +137,14 @@
 
 // write writes a claim over the row at the revision, or where there is none
 // for revision 0.
-func (j *journal) write(ctx context.Context, c ledger.Claim, revision uint64) (platform.Result, error) {
+func (j *journal) write(ctx context.Context, c ledger.Claim, revision uint64) (depot.Result, error) {
 	raw, err := json.Marshal(c)
 	if err != nil {
-		return platform.Result{}, platform.NewUnavailableError("write", false, err)
+		return depot.Result{}, depot.NewUnavailableError("write", false, err)
 	}
-	var condition platform.Condition = platform.Absent{}
+	var condition depot.Condition = depot.Absent{}
 	if revision > 0 {
-		condition = platform.AtRevision{Revision: revision}
+		condition = depot.AtRevision{Revision: revision}
 	}
-	return j.writer.write(ctx, platform.NewWrite(c.TableKey(), raw, condition))
+	return j.writer.write(ctx, depot.NewWrite(c.TableKey(), raw, condition))
 }
--- a/cmd/router/office/membership.go
+++ b/cmd/router/office/membership.go
@@ -9,7 +9,7 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/dispatch"
 	"vanillalug.example/peer"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 	"vanillalug.example/register"
 	"vanillalug.example/roster"
 )
@@ -33,7 +33,7 @@
 	}
 	var routers []roster.Member
 	for _, v := range vms {
-		if v.Role() == platform.RoleRouter {
+		if v.Role() == depot.RoleRouter {
 			m := roster.NewMember(v.Name(), v.Address(), v.Place(), 0)
 			if v.Leaving() {
 				m = m.WithState(roster.Leaving)
--- a/cmd/router/office/office.go
+++ b/cmd/router/office/office.go
@@ -13,7 +13,7 @@
 	"vanillalug.example/cmd/router/courier"
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/dispatch"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 	"vanillalug.example/register"
 	"vanillalug.example/roster"
 	"vanillalug.example/schedule"
@@ -31,9 +31,9 @@
 	engines courier.Engine
 	calls   courier.Service
 	peers   *courier.Peers
-	table   platform.Table
-	objects platform.Objects
-	vms     platform.VMs
+	table   depot.Table
+	objects depot.Objects
+	vms     depot.VMs
 
 	roster    *roster.Roster
 	register  *register.Register
@@ -81,9 +81,9 @@
 	Engines courier.Engine
 	Calls   courier.Service
 	Peers   *courier.Peers
-	Table   platform.Table
-	Objects platform.Objects
-	VMs     platform.VMs
+	Table   depot.Table
+	Objects depot.Objects
+	VMs     depot.VMs
 }
 
 const defaultMaxOpen = 8192
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -18,7 +18,7 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/cmd/router/office"
 	"vanillalug.example/cmd/router/settings"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 	"vanillalug.example/reception"
 	"vanillalug.example/schedule"
 )
@@ -130,7 +130,7 @@
 	counted := func(name string, kind meter.Kind) *reception.Client {
 		return reception.NewClient(name, reception.WithByteCount(meter.ControlBytes(kind)))
 	}
-	store := platform.NewClient(counted("platform", meter.Platform), cfg.Platform(), cfg.PlatformKey())
+	store := depot.NewClient(counted("platform", meter.Platform), cfg.Platform(), cfg.PlatformKey())
 	peers := courier.NewPeers(cfg.PeerKey(),
 		counted("probes", meter.Probe), counted("documents", meter.Document),
 		counted("hand-over", meter.HandOver), reception.NewClient("relays"), cfg.PeerIdle())
--- /dev/null
+++ b/cmd/router/settings/deployment.go
@@ -0,0 +1,115 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"vanillalug.example/form"
+)
+
+// The defaults and limits of the settings on a platform.
+const (
+	defaultRetryRatio  = 0.2
+	defaultRetryExtra  = 50
+	maxRetryExtra      = 1e6
+	defaultRetryWindow = 10 * time.Second
+	defaultGrace       = 8 * time.Second
+	defaultMemory      = 206
+	maxMemory          = 1 << 20
+)
+
+// Deployment are the settings of one router on the users' platform.
+type Deployment struct {
+	name        string
+	place       string
+	logLevel    string
+	entry       string
+	ready       string
+	peers       string
+	metrics     string
+	store       string
+	retryRatio  float64
+	retryExtra  float64
+	retryWindow time.Duration
+	grace       time.Duration
+	memory      int
+}
+
+// LoadDeployment reads the settings from a file. Every fault is reported
+// together, as a *form.FaultsError.
+func LoadDeployment(file string) (*Deployment, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("LoadDeployment: %w", err)
+	}
+	return ReadDeployment(file, text)
+}
+
+// ReadDeployment checks the text of a settings file.
+func ReadDeployment(file string, text []byte) (*Deployment, error) {
+	in, err := form.Read(file, text)
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{}
+	router := in.Only("router")
+	d.name = router.Required("name")
+	d.place = router.Required("place")
+	d.logLevel = router.Choice("log-level", "info", "trace", "debug", "info", "warn", "error")
+	d.memory = router.Whole("memory-mb", defaultMemory, 1, maxMemory)
+	listen := in.Only("listen")
+	d.entry = listen.Address("entry")
+	d.ready = listen.Address("ready")
+	d.peers = listen.Address("peers")
+	d.metrics = listen.Address("metrics")
+	d.store = in.Only("store").Address("address")
+	retries := in.Only("retries")
+	d.retryRatio = retries.Number("ratio", defaultRetryRatio, 0, 1)
+	d.retryExtra = retries.Number("extra", defaultRetryExtra, 0, maxRetryExtra)
+	d.retryWindow = retries.Duration("window", defaultRetryWindow, time.Second, time.Hour)
+	d.grace = in.Only("times").Duration("grace", defaultGrace, time.Second, time.Hour)
+	if err := in.Err(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Name returns the unique name of the VM.
+func (d *Deployment) Name() string { return d.name }
+
+// Place returns the failure domain.
+func (d *Deployment) Place() string { return d.place }
+
+// LogLevel returns the lowest level that is logged.
+func (d *Deployment) LogLevel() string { return d.logLevel }
+
+// Entry returns the address for callers.
+func (d *Deployment) Entry() string { return d.entry }
+
+// Ready returns the address for the balancer's readiness checks.
+func (d *Deployment) Ready() string { return d.ready }
+
+// Peers returns the address for the other routers, over TCP and UDP.
+func (d *Deployment) Peers() string { return d.peers }
+
+// Metrics returns the address of the metrics.
+func (d *Deployment) Metrics() string { return d.metrics }
+
+// Store returns the address of the platform's store.
+func (d *Deployment) Store() string { return d.store }
+
+// RetryRatio returns the share of a service's requests that may be sent again.
+func (d *Deployment) RetryRatio() float64 { return d.retryRatio }
+
+// RetryExtra returns what all routers together may send again besides.
+func (d *Deployment) RetryExtra() float64 { return d.retryExtra }
+
+// RetryWindow returns the span in which repeated sends are counted.
+func (d *Deployment) RetryWindow() time.Duration { return d.retryWindow }
+
+// Grace returns the time from SIGTERM to the end.
+func (d *Deployment) Grace() time.Duration { return d.grace }
+
+// Memory returns the memory that the process may use, in MB.
+func (d *Deployment) Memory() int { return d.memory }
--- a/cmd/standin/store/store.go
+++ b/cmd/standin/store/store.go
@@ -15,7 +15,7 @@
 	"sync"
 
 	"vanillalug.example/cmd/standin/fault"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 	"vanillalug.example/reception"
 )
 
@@ -26,11 +26,11 @@
 	mu      sync.Mutex
 	key     string
 	panel   *fault.Panel
-	rows    map[string]platform.Row
-	stale   map[string]platform.Row
-	copied  map[string]platform.Row
+	rows    map[string]depot.Row
+	stale   map[string]depot.Row
+	copied  map[string]depot.Row
 	objects map[string][]byte
-	vms     []platform.VMBody
+	vms     []depot.VMBody
 	// vmsChanges counts the changes of the list.
 	vmsChanges int
 	counts     Counts
@@ -47,9 +47,9 @@
 func New(key string) *Store {
 	s := &Store{
 		key:     key,
-		rows:    map[string]platform.Row{},
+		rows:    map[string]depot.Row{},
 		objects: map[string][]byte{},
-		vms:     []platform.VMBody{},
+		vms:     []depot.VMBody{},
 	}
 	s.panel = fault.NewPanel(s.faultsChanged)
 	return s
@@ -92,7 +92,7 @@
 }
 
 // readable returns the rows that reads see.
-func (s *Store) readable() map[string]platform.Row {
+func (s *Store) readable() map[string]depot.Row {
 	if s.stale != nil {
 		return s.stale
 	}
@@ -108,22 +108,22 @@
 		http.Error(w, "no such row", http.StatusNotFound)
 		return
 	}
-	reception.WriteJSON(w, http.StatusOK, platform.NewRowBody(row))
+	reception.WriteJSON(w, http.StatusOK, depot.NewRowBody(row))
 }
 
 func (s *Store) listRows(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	limit, _ := strconv.Atoi(q.Get("limit"))
-	var b platform.RowsBody
+	var b depot.RowsBody
 	s.mu.Lock()
 	s.counts.Reads++
 	for key, row := range s.readable() {
 		if strings.HasPrefix(key, q.Get("prefix")) && key > q.Get("after") {
-			b.Rows = append(b.Rows, platform.NewRowBody(row))
+			b.Rows = append(b.Rows, depot.NewRowBody(row))
 		}
 	}
 	s.mu.Unlock()
-	slices.SortFunc(b.Rows, func(x, y platform.RowBody) int { return cmp.Compare(x.Key, y.Key) })
+	slices.SortFunc(b.Rows, func(x, y depot.RowBody) int { return cmp.Compare(x.Key, y.Key) })
 	b.Rows = b.Rows[:min(max(limit, 0), len(b.Rows))]
 	reception.WriteJSON(w, http.StatusOK, b)
 }
@@ -133,11 +133,11 @@
 	if !ok {
 		return
 	}
-	var b platform.ResultsBody
+	var b depot.ResultsBody
 	s.mu.Lock()
 	s.counts.Groups++
 	for _, x := range writes {
-		b.Results = append(b.Results, platform.NewResultBody(s.apply(x)))
+		b.Results = append(b.Results, depot.NewResultBody(s.apply(x)))
 	}
 	s.mu.Unlock()
 	s.answer(w, http.StatusOK, b)
@@ -152,7 +152,7 @@
 	s.counts.Groups++
 	failed := ""
 	for _, x := range writes {
-		if !platform.Holds(x.Condition(), s.rows[x.Key()].Revision()) {
+		if !depot.Holds(x.Condition(), s.rows[x.Key()].Revision()) {
 			failed = x.Key()
 		}
 	}
@@ -163,7 +163,7 @@
 	}
 	s.mu.Unlock()
 	if failed != "" {
-		s.answer(w, http.StatusConflict, platform.ConflictBody{Key: failed})
+		s.answer(w, http.StatusConflict, depot.ConflictBody{Key: failed})
 		return
 	}
 	s.answer(w, http.StatusOK, struct{}{})
@@ -177,24 +177,24 @@
 	reception.WriteJSON(w, status, body)
 }
 
-func (s *Store) apply(x platform.Write) platform.Result {
+func (s *Store) apply(x depot.Write) depot.Result {
 	old := s.rows[x.Key()]
-	if !platform.Holds(x.Condition(), old.Revision()) {
-		return platform.NewRefused(old)
+	if !depot.Holds(x.Condition(), old.Revision()) {
+		return depot.NewRefused(old)
 	}
 	s.counts.Writes++
-	row := platform.NewRow(x.Key(), x.Value(), old.Revision()+1)
+	row := depot.NewRow(x.Key(), x.Value(), old.Revision()+1)
 	s.rows[x.Key()] = row
-	return platform.NewWritten(row.Revision())
+	return depot.NewWritten(row.Revision())
 }
 
-func readWrites(w http.ResponseWriter, r *http.Request) ([]platform.Write, bool) {
-	var b platform.WritesBody
+func readWrites(w http.ResponseWriter, r *http.Request) ([]depot.Write, bool) {
+	var b depot.WritesBody
 	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return nil, false
 	}
-	var out []platform.Write
+	var out []depot.Write
 	for _, x := range b.Writes {
 		write, err := x.Write()
 		if err != nil {
@@ -233,7 +233,7 @@
 
 func (s *Store) listVMs(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	b := platform.VMsBody{VMs: s.vms}
+	b := depot.VMsBody{VMs: s.vms}
 	tag := fmt.Sprintf("%q", fmt.Sprint(s.vmsChanges))
 	s.counts.Reads++
 	s.mu.Unlock()
@@ -246,7 +246,7 @@
 }
 
 func (s *Store) setVMs(w http.ResponseWriter, r *http.Request) {
-	var b platform.VMsBody
+	var b depot.VMsBody
 	if err := json.NewDecoder(r.Body).Decode(&b); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/cmd/vanillalug/call.go
+++ b/cmd/vanillalug/call.go
@@ -10,7 +10,7 @@
 
 	"vanillalug.example"
 	"vanillalug.example/form"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 	"vanillalug.example/reception"
 )
 
@@ -100,6 +100,6 @@
 }
 
 // newPlatform returns the platform that the settings name.
-func newPlatform(cfg *operatorSettings) *platform.Client {
-	return platform.NewClient(reception.NewClient("platform"), cfg.platform, cfg.platformKey)
+func newPlatform(cfg *operatorSettings) *depot.Client {
+	return depot.NewClient(reception.NewClient("platform"), cfg.platform, cfg.platformKey)
 }
--- a/cmd/vanillalug/claims.go
+++ b/cmd/vanillalug/claims.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"vanillalug.example/ledger"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 )
 
 const usageClaims = `vanillalug claims -settings FILE [-workspace NAME] [-older 1m]
@@ -67,7 +67,7 @@
 	return 0
 }
 
-func openClaims(ctx context.Context, t platform.Table, workspace string, before time.Time) ([]claimRow, error) {
+func openClaims(ctx context.Context, t depot.Table, workspace string, before time.Time) ([]claimRow, error) {
 	out := []claimRow{}
 	after := ""
 	for {
@@ -115,7 +115,7 @@
 	return c.settle(ctx, newPlatform(cfg), *claim, *ran == "yes", *force, cfg.operator)
 }
 
-func (c *call) settle(ctx context.Context, t platform.Table, key string, ran, force bool, operator string) int {
+func (c *call) settle(ctx context.Context, t depot.Table, key string, ran, force bool, operator string) int {
 	row, err := t.Get(ctx, key)
 	if err != nil {
 		return c.fail(exitFailure, err)
@@ -134,8 +134,8 @@
 	if err != nil {
 		return c.fail(exitFailure, err)
 	}
-	results, err := t.Write(ctx, []platform.Write{
-		platform.NewWrite(key, raw, platform.AtRevision{Revision: row.Revision()}),
+	results, err := t.Write(ctx, []depot.Write{
+		depot.NewWrite(key, raw, depot.AtRevision{Revision: row.Revision()}),
 	})
 	switch {
 	case err != nil:
--- a/cmd/vanillalug/versions.go
+++ b/cmd/vanillalug/versions.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"vanillalug.example"
-	"vanillalug.example/platform"
+	"vanillalug.example/depot"
 	"vanillalug.example/register"
 )
 
@@ -21,8 +21,8 @@
 
 // store is the part of the platform that holds the published versions.
 type store interface {
-	platform.Table
-	platform.Objects
+	depot.Table
+	depot.Objects
 }
 
 // versions reads and publishes the versions of the fleet document.
@@ -41,7 +41,7 @@
 // head returns the newest version; its number is 0 while there is none.
 func (v *versions) head(ctx context.Context) (headRow, error) {
 	row, err := v.store.Get(ctx, register.HeadKey)
-	var missing *platform.NotFoundError
+	var missing *depot.NotFoundError
 	if errors.As(err, &missing) {
 		return headRow{}, nil
 	}
@@ -192,15 +192,15 @@
 	if err != nil {
 		return register.RecordUnreadable{Err: err}
 	}
-	var onHead platform.Condition = platform.Absent{}
+	var onHead depot.Condition = depot.Absent{}
 	if base.revision > 0 {
-		onHead = platform.AtRevision{Revision: base.revision}
+		onHead = depot.AtRevision{Revision: base.revision}
 	}
-	err = v.store.Transact(ctx, []platform.Write{
-		platform.NewWrite(register.VersionKey(r.Head().Version()), raw, platform.Absent{}),
-		platform.NewWrite(register.HeadKey, raw, onHead),
+	err = v.store.Transact(ctx, []depot.Write{
+		depot.NewWrite(register.VersionKey(r.Head().Version()), raw, depot.Absent{}),
+		depot.NewWrite(register.HeadKey, raw, onHead),
 	})
-	var conflict *platform.ConflictError
+	var conflict *depot.ConflictError
 	switch {
 	case err == nil:
 		return register.RecordWritten{}
@@ -215,7 +215,7 @@
 func (v *versions) readRecord(ctx context.Context, version uint64) register.PublishEvent {
 	for {
 		r, err := v.record(ctx, version)
-		var missing *platform.NotFoundError
+		var missing *depot.NotFoundError
 		switch {
 		case err == nil:
 			return register.RecordRead{Found: true, Record: r}
--- /dev/null
+++ b/crew/book.go
@@ -0,0 +1,205 @@
+package crew
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// ReturnTime is how long after the registry's return an entry that lapsed
+// meanwhile may take to be back.
+const ReturnTime = 2 * time.Second
+
+// Book holds the beliefs about every target. It does no I/O and reads no clock;
+// the caller serializes events.
+type Book struct {
+	targets  map[string]*entry
+	revision uint64
+	lost     bool
+	regained time.Time
+}
+
+type entry struct {
+	target  Target
+	doubted bool
+	until   time.Time
+}
+
+// NewBook returns a Book that knows no target.
+func NewBook() *Book { return &Book{targets: map[string]*entry{}} }
+
+// Revision returns the version of the registry that the beliefs come from.
+func (b *Book) Revision() uint64 { return b.revision }
+
+// Handle takes an event in and returns what it changed.
+func (b *Book) Handle(e Event) []Effect {
+	switch e := e.(type) {
+	case Listed:
+		return b.list(e)
+	case Changed:
+		return b.change(e)
+	case Removed:
+		return b.remove(e)
+	case Lost:
+		b.lost = true
+	case Regained:
+		return b.regain(e)
+	case Elapsed:
+		return b.elapse(e)
+	}
+	return nil
+}
+
+// Usable returns the targets that take new work, by id. Doubted ones are left
+// out unless their service has no other.
+func (b *Book) Usable() map[string][]Target {
+	sure, doubted := map[string][]Target{}, map[string][]Target{}
+	for _, e := range b.targets {
+		if e.target.state != Ready {
+			continue
+		}
+		into := sure
+		if e.doubted {
+			into = doubted
+		}
+		into[e.target.service] = append(into[e.target.service], e.target)
+	}
+	for service, targets := range doubted {
+		if len(sure[service]) == 0 {
+			sure[service] = targets
+		}
+	}
+	for _, targets := range sure {
+		slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(a.id, b.id) })
+	}
+	return sure
+}
+
+// All returns every target that is believed to exist, by id.
+func (b *Book) All() []Target {
+	out := make([]Target, 0, len(b.targets))
+	for _, e := range b.targets {
+		out = append(out, e.target)
+	}
+	slices.SortFunc(out, func(a, b Target) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
+
+func (b *Book) list(e Listed) []Effect {
+	if e.Revision < b.revision {
+		return nil
+	}
+	listed := make(map[string]bool, len(e.Targets))
+	var out []Effect
+	for _, t := range e.Targets {
+		listed[t.id] = true
+		out = append(out, b.put(t)...)
+	}
+	for _, t := range b.All() {
+		if !listed[t.id] {
+			out = append(out, b.drop(t.id, e.At)...)
+		}
+	}
+	b.revision = e.Revision
+	return out
+}
+
+func (b *Book) change(e Changed) []Effect {
+	if e.Revision <= b.revision {
+		return nil
+	}
+	b.revision = e.Revision
+	return b.put(e.Target)
+}
+
+func (b *Book) remove(e Removed) []Effect {
+	if e.Revision <= b.revision {
+		return nil
+	}
+	b.revision = e.Revision
+	return b.drop(e.ID, e.At)
+}
+
+// put believes an entry. A lifetime that was leaving never takes work again.
+func (b *Book) put(t Target) []Effect {
+	old, known := b.targets[t.id]
+	if !known {
+		b.targets[t.id] = &entry{target: t}
+		if t.state == Ready {
+			return []Effect{Joined{Target: t}}
+		}
+		return nil
+	}
+	before := old.target
+	old.doubted = false
+	same := before.Lifetime() == t.Lifetime() && before.address == t.address && before.service == t.service
+	if same && before.state == Leaving {
+		t.state = Leaving
+	}
+	old.target = t
+	switch {
+	case same && before.state == t.state:
+		return nil
+	case same:
+		return []Effect{Left{Target: t, Reason: "leaving"}}
+	}
+	var out []Effect
+	if before.state == Ready {
+		out = append(out, Left{Target: before, Reason: "restarted"})
+	}
+	if t.state == Ready {
+		out = append(out, Joined{Target: t})
+	}
+	return out
+}
+
+// drop forgets a target, at once or after the time in which an entry that
+// lapsed during the registry's trouble may return.
+func (b *Book) drop(id string, now time.Time) []Effect {
+	e, known := b.targets[id]
+	if !known {
+		return nil
+	}
+	until := b.regained.Add(ReturnTime)
+	if e.target.state == Ready && (b.lost || now.Before(until)) {
+		if e.doubted {
+			return nil
+		}
+		e.doubted = true
+		e.until = until
+		return []Effect{Doubted{Target: e.target, Until: until}}
+	}
+	delete(b.targets, id)
+	if e.target.state != Ready {
+		return nil
+	}
+	return []Effect{Left{Target: e.target, Reason: "removed"}}
+}
+
+func (b *Book) regain(e Regained) []Effect {
+	if !b.lost {
+		return nil
+	}
+	b.lost = false
+	b.regained = e.At
+	for _, entry := range b.targets {
+		if entry.doubted {
+			entry.until = e.At.Add(ReturnTime)
+		}
+	}
+	return nil
+}
+
+func (b *Book) elapse(e Elapsed) []Effect {
+	if b.lost {
+		return nil
+	}
+	var out []Effect
+	for id, entry := range b.targets {
+		if entry.doubted && !e.At.Before(entry.until) {
+			delete(b.targets, id)
+			out = append(out, Left{Target: entry.target, Reason: "lapsed"})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/crew/event.go
@@ -0,0 +1,66 @@
+package crew
+
+import "time"
+
+// Event is news for a Book.
+type Event interface{ event() }
+
+// Listed is the whole registry as of a revision.
+type Listed struct {
+	At       time.Time
+	Targets  []Target
+	Revision uint64
+}
+
+// Changed says that a target registered or changed its entry.
+type Changed struct {
+	At       time.Time
+	Target   Target
+	Revision uint64
+}
+
+// Removed says that the entry of an id is gone, or names no target any more.
+type Removed struct {
+	At       time.Time
+	ID       string
+	Revision uint64
+}
+
+// Lost says that the registry can't be read any more.
+type Lost struct{ At time.Time }
+
+// Regained says that the registry can be read again.
+type Regained struct{ At time.Time }
+
+// Elapsed says that time has passed.
+type Elapsed struct{ At time.Time }
+
+func (Listed) event()   {}
+func (Changed) event()  {}
+func (Removed) event()  {}
+func (Lost) event()     {}
+func (Regained) event() {}
+func (Elapsed) event()  {}
+
+// Effect is what an event changed in a Book.
+type Effect interface{ effect() }
+
+// Joined says that a lifetime takes new work from now on.
+type Joined struct{ Target Target }
+
+// Left says that a lifetime takes no new work any more, and why.
+type Left struct {
+	Target Target
+	Reason string
+}
+
+// Doubted says that an entry is gone, which may be due to the registry's own
+// trouble; it is gone for good unless it is back by the time.
+type Doubted struct {
+	Target Target
+	Until  time.Time
+}
+
+func (Joined) effect()  {}
+func (Left) effect()    {}
+func (Doubted) effect() {}
--- a/platform/condition.go
+++ b/depot/condition.go
@@ -1,4 +1,4 @@
-package platform
+package depot
 
 // Condition has to hold for a write to take effect.
 type Condition interface{ condition() }
--- a/platform/vms.go
+++ b/depot/vms.go
@@ -1,4 +1,4 @@
-package platform
+package depot
 
 import "context"
 
--- /dev/null
+++ b/fitting/choose.go
@@ -0,0 +1,149 @@
+package fitting
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"vanillalug.example/crew"
+)
+
+const (
+	// boundFactor is the largest multiple of the mean load at which a target is
+	// still preferred for what it has cached.
+	boundFactor = 1.3
+	// boundExtra is added to the bound, in requests.
+	boundExtra = 2
+	// maxUnread is how many prompt tokens may wait to be read at the preferred
+	// target of a shared prompt.
+	maxUnread = 16000
+	// queueFactor is the multiple of a plain target's slots that it may be sent.
+	queueFactor = 4
+)
+
+// Candidate is a target with its load.
+type Candidate struct {
+	Target crew.Target
+	Load   Load
+	// Suspect marks a target that failed lately.
+	Suspect bool
+	// Tried marks a target that this request was already sent to.
+	Tried bool
+}
+
+// Question is what a target is chosen for.
+type Question struct {
+	Work  Work
+	Place string
+	// Slots is the batch of a model engine; 0 for plain services.
+	Slots int
+	// Random breaks ties.
+	Random uint64
+}
+
+// Verdict is the outcome of a choice.
+type Verdict interface{ verdict() }
+
+// Chosen names the candidate by its index.
+type Chosen struct{ Index int }
+
+// Full says that every target has all the work that it can finish in time.
+type Full struct{}
+
+// NoTarget says that no target is left to be asked.
+type NoTarget struct{}
+
+func (Chosen) verdict()   {}
+func (Full) verdict()     {}
+func (NoTarget) verdict() {}
+
+// Choose picks a target. Targets that were tried are never picked; suspects
+// only where nothing else is left.
+func Choose(q Question, all []Candidate) Verdict {
+	left := make([]int, 0, len(all))
+	for i, c := range all {
+		if !c.Tried && !c.Suspect {
+			left = append(left, i)
+		}
+	}
+	if len(left) == 0 {
+		for i, c := range all {
+			if !c.Tried {
+				left = append(left, i)
+			}
+		}
+	}
+	if len(left) == 0 {
+		return NoTarget{}
+	}
+	if key, ok := q.Work.Key(); ok && q.Slots > 0 {
+		return chooseCached(q, key, all, left)
+	}
+	return chooseIdle(q, all, left)
+}
+
+// chooseCached prefers the targets that have the shared prompt cached: the
+// first in an order that all routers share whose load is in bounds.
+func chooseCached(q Question, key uint64, all []Candidate, left []int) Verdict {
+	total := 0
+	for _, i := range left {
+		total += all[i].Load.requests
+	}
+	bound := int(math.Ceil(boundFactor*float64(total)/float64(len(left)))) + boundExtra
+	order := slices.Clone(left)
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(score(key, all[b].Target), score(key, all[a].Target))
+	})
+	for _, i := range order {
+		l := all[i].Load
+		if l.requests < bound && l.requests < q.Slots && l.unread < maxUnread {
+			return Chosen{Index: i}
+		}
+	}
+	return Chosen{Index: least(order, all)}
+}
+
+func least(order []int, all []Candidate) int {
+	return slices.MinFunc(order, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(all[a].Load.unread/1000, all[b].Load.unread/1000),
+			cmp.Compare(all[a].Load.requests, all[b].Load.requests))
+	})
+}
+
+// chooseIdle picks the least loaded target, nearer ones first.
+func chooseIdle(q Question, all []Candidate, left []int) Verdict {
+	best := slices.MinFunc(left, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(fill(all[a]), fill(all[b])),
+			cmp.Compare(distance(q.Place, all[a]), distance(q.Place, all[b])),
+			cmp.Compare(mix(q.Random^score(0, all[a].Target)), mix(q.Random^score(0, all[b].Target))))
+	})
+	slots := all[best].Target.Slots()
+	if q.Slots == 0 && slots > 0 && all[best].Load.requests >= queueFactor*slots {
+		return Full{}
+	}
+	return Chosen{Index: best}
+}
+
+// fill is the load over the slots; targets with free slots are alike as long
+// as they are under half full.
+func fill(c Candidate) float64 {
+	f := float64(c.Load.requests) / float64(max(c.Target.Slots(), 1))
+	if f < 0.34 {
+		return 0
+	}
+	return f
+}
+
+func distance(place string, c Candidate) int {
+	if c.Target.Place() == place {
+		return 0
+	}
+	return 1
+}
+
+// score ranks a target for a key by rendezvous hashing.
+func score(key uint64, t crew.Target) uint64 {
+	return mix(key ^ uint64(KeyOf(t.ID())))
+}
--- /dev/null
+++ b/fitting/work.go
@@ -0,0 +1,82 @@
+package fitting
+
+// Part is a piece of a prompt that requests may share.
+type Part struct {
+	id     uint64
+	tokens int
+}
+
+// NewPart returns a part with its length in tokens.
+func NewPart(id uint64, tokens int) Part { return Part{id: id, tokens: tokens} }
+
+// ID returns the id of the content.
+func (p Part) ID() uint64 { return p.id }
+
+// Tokens returns the length in tokens.
+func (p Part) Tokens() int { return p.tokens }
+
+// Work is what a request costs a model engine.
+type Work struct {
+	model  string
+	parts  []Part
+	prompt int
+	output int
+}
+
+// NewWork returns the work of a prompt, made of parts, and of at most so many
+// output tokens. No parts and no tokens are the work of a plain service.
+func NewWork(model string, parts []Part, prompt, output int) Work {
+	return Work{model: model, parts: parts, prompt: prompt, output: output}
+}
+
+// Model returns the model.
+func (w Work) Model() string { return w.model }
+
+// Parts returns the parts of the prompt, in order.
+func (w Work) Parts() []Part { return w.parts }
+
+// Prompt returns the length of the prompt in tokens.
+func (w Work) Prompt() int { return w.prompt }
+
+// Output returns the most output tokens.
+func (w Work) Output() int { return w.output }
+
+// Shared returns the tokens of all parts but the last, which belongs to the
+// request or its session.
+func (w Work) Shared() int {
+	n := 0
+	for _, p := range w.shared() {
+		n += p.tokens
+	}
+	return n
+}
+
+// Key returns what requests with the same shared parts have in common, or
+// false where nothing is shared.
+func (w Work) Key() (uint64, bool) {
+	shared := w.shared()
+	if len(shared) == 0 {
+		return 0, false
+	}
+	key := uint64(len(shared))
+	for _, p := range shared {
+		key = mix(key ^ p.id)
+	}
+	return key, true
+}
+
+func (w Work) shared() []Part {
+	if len(w.parts) < 2 {
+		return nil
+	}
+	return w.parts[:len(w.parts)-1]
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/plan/plan.go
@@ -0,0 +1,109 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Plan is one version of the routing table.
+type Plan struct {
+	version    uint64
+	byHost     map[string][]Route
+	services   map[string]Service
+	workspaces map[string]Workspace
+	byKey      map[string]string
+	keyed      bool
+	limits     Limits
+}
+
+// Option changes a new Plan.
+type Option func(*Plan)
+
+// WithRoutes adds routes.
+func WithRoutes(routes ...Route) Option {
+	return func(p *Plan) {
+		for _, r := range routes {
+			host := strings.ToLower(r.host)
+			p.byHost[host] = append(p.byHost[host], r)
+		}
+	}
+}
+
+// WithServices adds services.
+func WithServices(services ...Service) Option {
+	return func(p *Plan) {
+		for _, s := range services {
+			p.services[s.name] = s
+		}
+	}
+}
+
+// WithWorkspaces demands a key of every request on a route that is not public.
+func WithWorkspaces(workspaces ...Workspace) Option {
+	return func(p *Plan) {
+		p.keyed = true
+		for _, w := range workspaces {
+			p.workspaces[w.name] = w
+			for _, k := range w.keys {
+				p.byKey[k] = w.name
+			}
+		}
+	}
+}
+
+// WithLimits sets what callers may send.
+func WithLimits(l Limits) Option { return func(p *Plan) { p.limits = l } }
+
+// New returns the plan of a version.
+func New(version uint64, opts ...Option) *Plan {
+	p := &Plan{
+		version:    version,
+		byHost:     map[string][]Route{},
+		services:   map[string]Service{},
+		workspaces: map[string]Workspace{},
+		byKey:      map[string]string{},
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	for _, routes := range p.byHost {
+		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
+	}
+	return p
+}
+
+// Version returns the version; a later one is larger.
+func (p *Plan) Version() uint64 { return p.version }
+
+// Limits returns what callers may send.
+func (p *Plan) Limits() Limits { return p.limits }
+
+// Match returns the route of the host with the longest prefix of the path.
+func (p *Plan) Match(host, path string) (*Route, bool) {
+	routes := p.byHost[strings.ToLower(host)]
+	for i := range routes {
+		if strings.HasPrefix(path, routes[i].prefix) {
+			return &routes[i], true
+		}
+	}
+	return nil, false
+}
+
+// Service returns the service of the name.
+func (p *Plan) Service(name string) (Service, bool) {
+	s, ok := p.services[name]
+	return s, ok
+}
+
+// Keyed reports whether requests need a key.
+func (p *Plan) Keyed() bool { return p.keyed }
+
+// WorkspaceByKey returns the workspace that holds the key.
+func (p *Plan) WorkspaceByKey(key string) (Workspace, bool) {
+	name, ok := p.byKey[key]
+	if !ok {
+		return Workspace{}, false
+	}
+	return p.workspaces[name], true
+}
--- a/reception/client.go
+++ b/reception/client.go
@@ -18,6 +18,8 @@
 	clientBufferSize       = 1 << 10
 	clientWriteBufferSize  = 1 << 10
 	clientMaxResponseBytes = 64 << 10
+	defaultKeepAlive       = 15 * time.Second
+	keepAliveCount         = 2
 )
 
 // Client sends HTTP requests. It follows no redirects and has no breaker.
@@ -31,6 +33,7 @@
 	fresh          bool
 	poolTime       time.Duration
 	count          ByteCount
+	keepAlive      net.KeepAliveConfig
 }
 
 // ByteCount is told of bytes that a connection sent or received.
@@ -61,6 +64,14 @@
 	return func(o *clientOptions) { o.count = count }
 }
 
+// WithKeepAlive probes idle connections, so that one which went silent is
+// closed after the idle time and two intervals.
+func WithKeepAlive(idle, interval time.Duration) ClientOption {
+	return func(o *clientOptions) {
+		o.keepAlive = net.KeepAliveConfig{Enable: true, Idle: idle, Interval: interval, Count: keepAliveCount}
+	}
+}
+
 // NewClient returns a client. The name is that of the kind of server.
 func NewClient(name string, opts ...ClientOption) *Client {
 	o := clientOptions{connectTimeout: defaultConnectTimeout, poolTime: defaultPoolTime}
@@ -97,7 +108,7 @@
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 func dialer(o clientOptions) func(context.Context, string, string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: o.connectTimeout, KeepAlive: 15 * time.Second}
+	d := &net.Dialer{Timeout: o.connectTimeout, KeepAlive: defaultKeepAlive, KeepAliveConfig: o.keepAlive}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, address)
 		if err != nil || o.count == nil {
--- a/reception/server.go
+++ b/reception/server.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/httpx"
 )
 
 const (
@@ -38,6 +39,7 @@
 	headerTimeout  time.Duration
 	idleTimeout    time.Duration
 	maxConns       int
+	handler        http.Handler
 }
 
 // ServerOption changes a new Server.
@@ -53,6 +55,17 @@
 	return func(o *serverOptions) { o.maxConns = n }
 }
 
+// WithTimeouts sets how long a caller may take for a header and how long a
+// connection may be idle.
+func WithTimeouts(header, idle time.Duration) ServerOption {
+	return func(o *serverOptions) { o.headerTimeout, o.idleTimeout = header, idle }
+}
+
+// WithHandler sends every request to the handler, whatever its host and path.
+func WithHandler(h http.Handler) ServerOption {
+	return func(o *serverOptions) { o.handler = h }
+}
+
 // NewServer returns a server for the IP number and port.
 func NewServer(name, address string, opts ...ServerOption) (*Server, error) {
 	o := serverOptions{
@@ -82,7 +95,7 @@
 		Port: port,
 	}
 	s := &Server{name: name, opts: o}
-	server, err := rest.NewServer(conf, rest.WithRouter(newPathRouter()))
+	server, err := rest.NewServer(conf, rest.WithRouter(o.router()))
 	if err != nil {
 		return nil, fmt.Errorf("NewServer: %s: %w", name, err)
 	}
@@ -90,6 +103,13 @@
 	return s, nil
 }
 
+func (o serverOptions) router() httpx.Router {
+	if o.handler != nil {
+		return handlerRouter{o.handler}
+	}
+	return newPathRouter()
+}
+
 // Handle registers a handler. An empty method is any method; a path that ends
 // in a slash is everything below it.
 func (s *Server) Handle(method, path string, h http.HandlerFunc) {
