Hear versions from peers, bound a silent store, and leave in two steps

Ruled out: slow decoding (the table is in force within 2 ms of the row).

Change: the registry's feed waits 2 s and renews the other feed when it fails; routers tell each other in the datagrams with loads which version they know, and one that is behind for 250 ms asks the peer (twirp) and the store again; on SIGTERM idle connections are closed after 2.8 s and what runs gets the rest of the grace time.

--- a/Makefile
+++ b/Makefile
@@ -60,8 +60,8 @@
 	cd cmd/router && go test -fuzz FuzzEventReader -fuzztime 1m ./courier
 	cd cmd/router && go test -fuzz FuzzParseChat -fuzztime 1m ./handlers
 
-# Writes the committed code again from peer/peer.proto. Needs protoc.
+# Writes the committed code again from peer/*.proto. Needs protoc.
 generate:
 	GOBIN=$(TOOLS) GOWORK=off go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
 	GOBIN=$(TOOLS) GOWORK=off go install github.com/twitchtv/twirp/protoc-gen-twirp@v8.1.3+incompatible
-	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=module=vanillalug.example --twirp_out=. --twirp_opt=module=vanillalug.example peer/peer.proto
+	PATH=$(TOOLS):$$PATH protoc --go_out=. --go_opt=module=vanillalug.example --twirp_out=. --twirp_opt=module=vanillalug.example peer/peer.proto peer/beliefs.proto
--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -14,6 +14,7 @@
 	"vanillalug.example/cmd/router/gateway"
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/cmd/router/settings"
+	"vanillalug.example/peer"
 	"vanillalug.example/platform"
 	"vanillalug.example/reception"
 	"vanillalug.example/schedule"
@@ -26,16 +27,17 @@
 	entryIdleTimeout = time.Minute
 	entryMaxHeader   = 64 << 10
 	entryMaxConns    = 2000
-	storeConnect     = time.Second
+	storeConnect     = 500 * time.Millisecond
+	peerConnect      = 400 * time.Millisecond
+	peerPool         = 10 * time.Second
 	storeKeepAlive   = time.Second
 	// memoryShare is the part of the memory at which the collector works harder.
 	memoryShare = 0.7
 	gcPercent   = 60
 	// leaveMargin is kept from the end of the grace time.
-	leaveMargin = 600 * time.Millisecond
+	leaveMargin = 150 * time.Millisecond
 	// balancerTime is how long the balancer may go on to send new connections.
-	balancerTime  = 3 * time.Second
-	leaveInterval = 50 * time.Millisecond
+	balancerTime = 2800 * time.Millisecond
 )
 
 // serveDeployment runs a router on the users' platform until it is told to stop.
@@ -50,7 +52,8 @@
 		Name: cfg.Name(), Place: cfg.Place(), PeerAddress: cfg.Peers(),
 		RetryRatio: cfg.RetryRatio(), RetryExtra: cfg.RetryExtra(), RetryWindow: cfg.RetryWindow(),
 		Grace: cfg.Grace(),
-	}, clock, log, platform.NewStore(client, cfg.Store()))
+	}, clock, log, platform.NewStore(client, cfg.Store()),
+		reception.NewClient("peers", reception.WithConnectTimeout(peerConnect), reception.WithPoolTime(peerPool)))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	entry, failed, err := listenDeployment(cfg, g)
@@ -96,8 +99,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	failed := make(chan error, 3)
-	for _, s := range []*reception.Server{entry, ready, metrics} {
+	peers, err := reception.NewServer("peers", cfg.Peers(), reception.WithHandler(peer.NewBeliefsServer(g)))
+	if err != nil {
+		return nil, nil, err
+	}
+	servers := []*reception.Server{entry, ready, metrics, peers}
+	failed := make(chan error, len(servers))
+	for _, s := range servers {
 		go func() { failed <- s.Serve() }()
 	}
 	return entry, failed, nil
@@ -122,20 +130,15 @@
 	log.Info("settings reloaded", "log-level", cfg.LogLevel())
 }
 
-// leaveDeployment takes what still comes and ends when every request is
-// answered, or just before the grace time is over.
+// leaveDeployment takes what still comes until the balancer has turned away,
+// then closes idle connections and ends when every request is answered, or just
+// before the grace time is over.
 func leaveDeployment(cfg *settings.Deployment, g *gateway.Gateway, entry *reception.Server, log hclog.Logger) int {
 	start := time.Now()
 	g.Stop()
 	log.Info("told to stop", "open", g.Open())
-	for {
-		time.Sleep(leaveInterval)
-		gone := time.Since(start)
-		if gone >= cfg.Grace()-leaveMargin || gone >= balancerTime && g.Open() == 0 {
-			break
-		}
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), leaveMargin/2)
+	time.Sleep(balancerTime)
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(cfg.Grace()-leaveMargin))
 	defer cancel()
 	if err := entry.Shutdown(ctx); err != nil {
 		log.Warn("stopped with open requests", "open", g.Open(), "error", err)
--- a/cmd/router/gateway/beliefs.go
+++ b/cmd/router/gateway/beliefs.go
@@ -85,6 +85,9 @@
 	if changed {
 		g.renew()
 	}
+	if k := g.registry.Load(); changed || k == nil || k.revision != g.book.Revision() {
+		g.registry.Store(&knowledge{revision: g.book.Revision(), digest: g.book.Digest()})
+	}
 }
 
 func (g *Gateway) logEffect(e crew.Effect) {
--- /dev/null
+++ b/cmd/router/gateway/catch_up.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"vanillalug.example/crew"
+	"vanillalug.example/peer"
+)
+
+const (
+	// behindDelay is how long the store may take to tell what a peer knows
+	// already.
+	behindDelay = 250 * time.Millisecond
+	// beliefsTimeout bounds a call to a peer.
+	beliefsTimeout = 600 * time.Millisecond
+)
+
+// knowledge is which version of everything this router acts on.
+type knowledge struct {
+	version  uint64
+	revision uint64
+	digest   uint64
+}
+
+// behind reports whether a peer knows something newer.
+func (k knowledge) behind(a ahead) bool {
+	return a.version > k.version || a.revision > k.revision && a.digest != k.digest
+}
+
+func (g *Gateway) known() knowledge {
+	var k knowledge
+	if r := g.registry.Load(); r != nil {
+		k = *r
+	}
+	if p := g.plan.Load(); p != nil {
+		k.version = p.plan.Version()
+	}
+	return k
+}
+
+// noticeBehind wakes the loop that catches up, if it sleeps.
+func (g *Gateway) noticeBehind() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
+}
+
+// catchUp asks a peer for what it knows and the store has not told in time.
+func (g *Gateway) catchUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+		}
+		sleep(ctx, behindDelay)
+		a, ok := g.peers.mostAhead(g.known())
+		if !ok {
+			continue
+		}
+		g.watchers.plan.interrupt()
+		g.watchers.registry.interrupt()
+		g.askPeer(ctx, a)
+	}
+}
+
+// mostAhead returns the peer that knows most beyond what is known here.
+func (p *peers) mostAhead(k knowledge) (best ahead, found bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, a := range p.ahead {
+		if !k.behind(a) {
+			continue
+		}
+		if !found || a.version > best.version || a.version == best.version && a.revision > best.revision {
+			best, found = a, true
+		}
+	}
+	return best, found
+}
+
+func (g *Gateway) askPeer(ctx context.Context, a ahead) {
+	k := g.known()
+	ctx, cancel := context.WithTimeout(ctx, beliefsTimeout)
+	defer cancel()
+	client := peer.NewBeliefsProtobufClient("http://"+a.from.String(), g.peerClient)
+	reply, err := client.GetBeliefs(ctx, &peer.GetBeliefsRequest{PlanVersion: k.version, RegistryRevision: k.revision})
+	if err != nil {
+		g.log.Warn("a peer that knows more did not answer", "peer", a.from.String(), "version", a.version,
+			"revision", a.revision, "error", err)
+		return
+	}
+	if len(reply.Plan) > 0 {
+		g.applyPlan(reply.Plan, "peer "+a.from.String())
+	}
+	if reply.RegistryRevision > k.revision {
+		g.handle(crew.Listed{
+			At: g.clock.Now(), Targets: believedTargets(reply.Targets), Revision: reply.RegistryRevision,
+		})
+	}
+}
+
+// GetBeliefs implements peer.Beliefs.
+func (g *Gateway) GetBeliefs(_ context.Context, r *peer.GetBeliefsRequest) (*peer.GetBeliefsReply, error) {
+	out := &peer.GetBeliefsReply{}
+	if p := g.plan.Load(); p != nil {
+		out.PlanVersion = p.plan.Version()
+		if p.plan.Version() > r.PlanVersion {
+			out.Plan = p.raw
+		}
+	}
+	g.bookMu.Lock()
+	defer g.bookMu.Unlock()
+	out.RegistryRevision = g.book.Revision()
+	if out.RegistryRevision <= r.RegistryRevision {
+		return out, nil
+	}
+	for _, t := range g.book.All() {
+		out.Targets = append(out.Targets, &peer.BelievedTarget{
+			Id: t.ID(), Born: t.Born(), Address: t.Address(), Place: t.Place(), Service: t.Service(),
+			Slots: uint32(max(t.Slots(), 0)), Leaving: t.State() == crew.Leaving,
+		})
+	}
+	return out, nil
+}
+
+func believedTargets(in []*peer.BelievedTarget) []crew.Target {
+	out := make([]crew.Target, 0, len(in))
+	for _, b := range in {
+		state := crew.Ready
+		if b.Leaving {
+			state = crew.Leaving
+		}
+		out = append(out, crew.NewTarget(b.Id, b.Service, b.Address,
+			crew.WithBorn(b.Born), crew.WithPlace(b.Place), crew.WithSlots(int(b.Slots)), crew.WithState(state)))
+	}
+	return out
+}
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"vanillalug.example/allowance"
 	"vanillalug.example/crew"
 	"vanillalug.example/fitting"
+	"vanillalug.example/peer"
 	"vanillalug.example/plan"
 	"vanillalug.example/platform"
 	"vanillalug.example/schedule"
@@ -43,12 +44,18 @@
 	board  *fitting.Board
 	budget *allowance.Window
 	peers  *peers
+	// peerClient sends calls to other routers.
+	peerClient peer.HTTPClient
+	watchers   watchers
+	wake       chan struct{}
 
 	plan    atomic.Pointer[planned]
 	targets atomic.Pointer[targets]
 
 	bookMu sync.Mutex
 	book   *crew.Book
+	// registry is what the book knows, for peers.
+	registry atomic.Pointer[knowledge]
 
 	stopping atomic.Bool
 	open     atomic.Int64
@@ -63,15 +70,17 @@
 }
 
 // New returns a Gateway that knows nothing yet.
-func New(cfg Config, clock schedule.Clock, log hclog.Logger, store *platform.Store) *Gateway {
+func New(cfg Config, clock schedule.Clock, log hclog.Logger, store *platform.Store, peerClient peer.HTTPClient) *Gateway {
 	g := &Gateway{
-		cfg: cfg, clock: clock, log: log, store: store,
+		cfg: cfg, clock: clock, log: log, store: store, peerClient: peerClient,
+		wake:   make(chan struct{}, 1),
 		board:  fitting.NewBoard(),
 		budget: allowance.NewWindow(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
 		book:   crew.NewBook(),
 	}
 	g.targets.Store(&targets{byService: map[string][]*post{}, byLifetime: map[string]*post{}})
-	g.peers = newPeers(cfg.Name, clock)
+	g.peers = newPeers()
+	g.watchers = g.newWatchers()
 	return g
 }
 
@@ -80,9 +89,10 @@
 	if err := g.listenPeers(ctx); err != nil {
 		return err
 	}
-	go g.watchPlan(ctx)
-	go g.watchTargets(ctx)
+	go g.watchers.plan.run(ctx)
+	go g.watchers.registry.run(ctx)
 	go g.announce(ctx)
+	go g.catchUp(ctx)
 	stops := []func(){
 		g.clock.Every(shareInterval, g.shareLoads),
 		g.clock.Every(tidyInterval, g.tidy),
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -2,48 +2,96 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
-	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"vanillalug.example/fitting"
-	"vanillalug.example/schedule"
+	"vanillalug.example/peer"
 )
 
 const (
-	// shareInterval is the time between two datagrams with loads.
+	// shareInterval is the time between two datagrams while there is work.
 	shareInterval = 200 * time.Millisecond
-	// announceDelay lets the other routers announce themselves first.
-	announceDelay = 2 * time.Second
-	// peersInterval is the time between two reads of the routers' table.
-	peersInterval   = 15 * time.Second
-	announceTimeout = 3 * time.Second
-	maxDatagram     = 1400
+	// quietShares is how many intervals pass between datagrams without work.
+	quietShares = 5
+	// peersPerInterval is how many peers are told in one interval; with more
+	// of them each is told less often.
+	peersPerInterval = 24
+	maxDatagram      = 8 << 10
 )
 
-// peers are the other routers, as they announced themselves.
+// peers are the other routers, as they announced themselves or were heard.
 type peers struct {
-	name  string
-	clock schedule.Clock
-	conn  *net.UDPConn
+	conn *net.UDPConn
 
 	mu        sync.Mutex
 	addresses map[string]netip.AddrPort
+	turn      int
+	quiet     int
+	ahead     map[string]ahead
 }
 
-func newPeers(name string, clock schedule.Clock) *peers {
-	return &peers{name: name, clock: clock, addresses: map[string]netip.AddrPort{}}
+// ahead is what a peer said that it knows.
+type ahead struct {
+	from     netip.AddrPort
+	version  uint64
+	revision uint64
+	digest   uint64
 }
 
-// routerBody is what a router writes of itself for its peers.
-type routerBody struct {
-	Address string `json:"address"`
+func newPeers() *peers {
+	return &peers{addresses: map[string]netip.AddrPort{}, ahead: map[string]ahead{}}
+}
+
+// learn takes in the addresses that routers announced.
+func (p *peers) learn(found map[string]netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addresses = found
+}
+
+// heard takes in what a peer knows and where it is.
+func (p *peers) heard(name string, a ahead) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addresses[name] = a.from
+	p.ahead[name] = a
+}
+
+// next returns the peers that are told in this interval.
+func (p *peers) next() []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	groups := (len(p.addresses) + peersPerInterval - 1) / peersPerInterval
+	if groups == 0 {
+		return nil
+	}
+	p.turn = (p.turn + 1) % groups
+	out := make([]netip.AddrPort, 0, peersPerInterval)
+	for name, a := range p.addresses {
+		if int(hashOf(name)%uint64(groups)) == p.turn {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// speak reports whether it is time for a datagram; without work most
+// intervals pass in silence.
+func (p *peers) speak(busy bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.quiet++
+	if !busy && p.quiet < quietShares {
+		return false
+	}
+	p.quiet = 0
+	return true
 }
 
 // listenPeers opens the socket for datagrams.
@@ -62,89 +110,42 @@
 	return nil
 }
 
-// announce writes this router's address and reads those of the others.
-func (g *Gateway) announce(ctx context.Context) {
-	value, err := json.Marshal(routerBody{Address: g.cfg.PeerAddress})
-	if err != nil {
-		g.log.Error("cannot announce this router", "error", err)
+// shareLoads tells peers this router's own work and what it knows.
+func (g *Gateway) shareLoads(time.Time) {
+	own := g.board.Own()
+	if !g.peers.speak(len(own) > 0) {
 		return
 	}
-	sleep(ctx, rand.N(announceDelay/2))
-	written := false
-	for ctx.Err() == nil {
-		if !written {
-			written = g.announceOnce(ctx, value)
-			sleep(ctx, announceDelay)
-		}
-		if g.readPeers(ctx) && written {
-			sleep(ctx, peersInterval/2+rand.N(peersInterval))
-			continue
-		}
-		sleep(ctx, maxRetryDelay+rand.N(maxRetryDelay))
-	}
-}
-
-func (g *Gateway) announceOnce(ctx context.Context, value []byte) bool {
-	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
-	defer cancel()
-	if err := g.store.Announce(ctx, g.cfg.Name, value); err != nil {
-		g.log.Warn("cannot announce this router", "error", err)
-		return false
-	}
-	return true
-}
-
-func (g *Gateway) readPeers(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	rows, err := g.store.Routers(ctx)
+	message, err := proto.Marshal(g.share(own))
 	if err != nil {
-		g.log.Warn("cannot read the routers' addresses", "error", err)
-		return false
+		g.log.Error("cannot write the loads for peers", "error", err)
+		return
 	}
-	found := map[string]netip.AddrPort{}
-	for _, r := range rows.All() {
-		var b routerBody
-		if err := json.Unmarshal(r.Value(), &b); err != nil {
-			g.log.Warn("a router's address can't be read", "router", r.Key(), "error", err)
-			continue
-		}
-		address, err := netip.ParseAddrPort(b.Address)
-		if err != nil || r.Key() == g.cfg.Name {
-			continue
+	for _, a := range g.peers.next() {
+		if _, err := g.peers.conn.WriteToUDPAddrPort(message, a); err != nil {
+			g.log.Debug("cannot tell a peer the loads", "peer", a.String(), "error", err)
 		}
-		found[r.Key()] = address
 	}
-	g.peers.mu.Lock()
-	defer g.peers.mu.Unlock()
-	g.peers.addresses = found
-	return true
 }
 
-func (p *peers) list() []netip.AddrPort {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	out := make([]netip.AddrPort, 0, len(p.addresses))
-	for _, a := range p.addresses {
-		out = append(out, a)
+func (g *Gateway) share(own map[fitting.Key]fitting.Load) *peer.Share {
+	k := g.known()
+	out := &peer.Share{
+		From: g.cfg.Name, PlanVersion: k.version, RegistryRevision: k.revision, RegistryDigest: k.digest,
+		Loads: make([]*peer.TargetLoad, 0, len(own)),
 	}
-	return out
-}
-
-// shareLoads tells every peer this router's own work.
-func (g *Gateway) shareLoads(time.Time) {
-	message := encodeLoads(g.cfg.Name, g.board.Own())
-	for _, a := range g.peers.list() {
-		if _, err := g.peers.conn.WriteToUDPAddrPort(message, a); err != nil {
-			g.log.Debug("cannot tell a peer the loads", "peer", a.String(), "error", err)
-		}
+	for key, l := range own {
+		out.Loads = append(out.Loads, &peer.TargetLoad{
+			Target: uint64(key), Requests: uint32(max(l.Requests(), 0)), Unread: uint32(max(l.Unread(), 0)),
+		})
 	}
+	return out
 }
 
 func (g *Gateway) hearPeers(ctx context.Context) {
 	buffer := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
-		n, _, err := g.peers.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := g.peers.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			if ctx.Err() == nil {
 				g.log.Warn("cannot hear peers", "error", err)
@@ -152,72 +153,24 @@
 			}
 			continue
 		}
-		name, loads, ok := decodeLoads(buffer[:n])
-		if !ok {
-			g.log.Warn("a peer's loads can't be read", "bytes", n)
+		var s peer.Share
+		if err := proto.Unmarshal(buffer[:n], &s); err != nil || s.From == "" {
+			g.log.Warn("a peer's loads can't be read", "from", from.String(), "error", err)
 			continue
 		}
-		g.board.Hear(name, loads, g.clock.Now())
+		g.hear(&s, from)
 	}
 }
 
-// The fields of a datagram.
-const (
-	fieldName protowire.Number = iota + 1
-	fieldTarget
-	fieldRequests
-	fieldUnread
-)
-
-// encodeLoads writes the sender's name and its load at each target.
-func encodeLoads(name string, loads map[fitting.Key]fitting.Load) []byte {
-	b := protowire.AppendTag(nil, fieldName, protowire.BytesType)
-	b = protowire.AppendString(b, name)
-	for k, l := range loads {
-		b = protowire.AppendTag(b, fieldTarget, protowire.Fixed64Type)
-		b = protowire.AppendFixed64(b, uint64(k))
-		b = protowire.AppendTag(b, fieldRequests, protowire.VarintType)
-		b = protowire.AppendVarint(b, uint64(max(l.Requests(), 0)))
-		b = protowire.AppendTag(b, fieldUnread, protowire.VarintType)
-		b = protowire.AppendVarint(b, uint64(max(l.Unread(), 0)))
+func (g *Gateway) hear(s *peer.Share, from netip.AddrPort) {
+	loads := make(map[fitting.Key]fitting.Load, len(s.Loads))
+	for _, l := range s.Loads {
+		loads[fitting.Key(l.Target)] = fitting.NewLoad(int(l.Requests), int(l.Unread))
 	}
-	return b
-}
-
-// decodeLoads reads a datagram; each target is followed by its figures.
-func decodeLoads(b []byte) (name string, loads map[fitting.Key]fitting.Load, ok bool) {
-	loads = map[fitting.Key]fitting.Load{}
-	var target fitting.Key
-	for len(b) > 0 {
-		number, kind, n := protowire.ConsumeTag(b)
-		if n < 0 {
-			return "", nil, false
-		}
-		b = b[n:]
-		var value uint64
-		switch kind {
-		case protowire.BytesType:
-			text, m := protowire.ConsumeString(b)
-			name, n = text, m
-		case protowire.Fixed64Type:
-			value, n = protowire.ConsumeFixed64(b)
-		case protowire.VarintType:
-			value, n = protowire.ConsumeVarint(b)
-		default:
-			return "", nil, false
-		}
-		if n < 0 {
-			return "", nil, false
-		}
-		b = b[n:]
-		switch number {
-		case fieldTarget:
-			target = fitting.Key(value)
-		case fieldRequests:
-			loads[target] = loads[target].Plus(fitting.NewLoad(int(value), 0))
-		case fieldUnread:
-			loads[target] = loads[target].Plus(fitting.NewLoad(0, int(value)))
-		}
+	g.board.Hear(s.From, loads, g.clock.Now())
+	a := ahead{from: from, version: s.PlanVersion, revision: s.RegistryRevision, digest: s.RegistryDigest}
+	g.peers.heard(s.From, a)
+	if g.known().behind(a) {
+		g.noticeBehind()
 	}
-	return name, loads, name != ""
 }
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"vanillalug.example/crew"
@@ -11,48 +12,55 @@
 )
 
 const (
-	// feedWait is how long the store may hold a feed without changes.
-	feedWait = 10 * time.Second
+	// registryWait is how long the store may hold the feed of the registry
+	// without changes. It bounds how long a store that fell silent is believed
+	// to be there.
+	registryWait = 2 * time.Second
+	// planWait is longer: this feed is asked again when the registry's fails.
+	planWait = 20 * time.Second
 	// feedSlack is how much longer than the wait an answer may take.
-	feedSlack   = 2 * time.Second
-	listTimeout = 2 * time.Second
+	feedSlack   = 700 * time.Millisecond
+	listTimeout = 1500 * time.Millisecond
+	// feedPause lets changes that come together be read together.
+	feedPause = 250 * time.Millisecond
 	// retryDelay is the first delay after a failed call; it is spread by half.
-	retryDelay    = 150 * time.Millisecond
-	maxRetryDelay = 1200 * time.Millisecond
+	retryDelay    = 120 * time.Millisecond
+	maxRetryDelay = 500 * time.Millisecond
 )
 
-// watchPlan keeps the routing table up to date.
-func (g *Gateway) watchPlan(ctx context.Context) {
-	w := &watcher{
-		g: g, name: "routing-table",
-		list:   g.store.Plan,
-		feed:   g.store.PlanChanges,
-		listed: func(rows platform.Rows) { g.applyPlanRows(rows) },
-		fed:    func(rows platform.Rows) { g.applyPlanRows(rows) },
-	}
-	w.run(ctx)
+// errInterrupted ends a call whose answer is needed sooner.
+var errInterrupted = errors.New("interrupted")
+
+// watchers follow the tables of the store.
+type watchers struct {
+	plan     *watcher
+	registry *watcher
 }
 
-// watchTargets keeps the beliefs about targets up to date.
-func (g *Gateway) watchTargets(ctx context.Context) {
-	w := &watcher{
-		g: g, name: "registry",
-		list: g.store.Targets,
-		feed: g.store.TargetChanges,
-		listed: func(rows platform.Rows) {
-			g.applyTargetList(rows)
+func (g *Gateway) newWatchers() watchers {
+	plan := &watcher{
+		g: g, name: "routing-table", wait: planWait,
+		list: g.store.Plan, feed: g.store.PlanChanges,
+		listed: g.applyPlanRows, fed: g.applyPlanRows,
+	}
+	registry := &watcher{
+		g: g, name: "registry", wait: registryWait,
+		list: g.store.Targets, feed: g.store.TargetChanges,
+		listed: g.applyTargetList, fed: g.applyTargetRows,
+		lost: func(now time.Time) {
+			g.handle(crew.Lost{At: now})
+			plan.interrupt()
 		},
-		fed:      func(rows platform.Rows) { g.applyTargetRows(rows) },
-		lost:     func(now time.Time) { g.handle(crew.Lost{At: now}) },
 		regained: func(now time.Time) { g.handle(crew.Regained{At: now}) },
 	}
-	w.run(ctx)
+	return watchers{plan: plan, registry: registry}
 }
 
 // watcher follows one table of the store: a list, then changes since then.
 type watcher struct {
 	g        *Gateway
 	name     string
+	wait     time.Duration
 	list     func(context.Context) (platform.Rows, error)
 	feed     func(context.Context, uint64, time.Duration) (platform.Rows, error)
 	listed   func(platform.Rows)
@@ -62,39 +70,65 @@
 
 	since    uint64
 	failures int
+
+	mu     sync.Mutex
+	cancel context.CancelCauseFunc
 }
 
 func (w *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := w.step(ctx)
-		if err == nil || ctx.Err() != nil {
-			continue
-		}
+		w.runOnce(ctx)
+	}
+}
+
+func (w *watcher) runOnce(ctx context.Context) {
+	call, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w.mu.Lock()
+	w.cancel = cancel
+	w.mu.Unlock()
+	changed, err := w.step(call)
+	switch {
+	case ctx.Err() != nil:
+	case errors.Is(context.Cause(call), errInterrupted):
+	case err != nil:
 		w.failed(err)
 		sleep(ctx, w.delay())
+	case changed:
+		sleep(ctx, feedPause)
+	}
+}
+
+// interrupt ends the call in progress, so that the store is asked again at once.
+func (w *watcher) interrupt() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cancel != nil {
+		w.cancel(errInterrupted)
 	}
 }
 
-func (w *watcher) step(ctx context.Context) error {
+// step makes one call; it reports whether it brought any change.
+func (w *watcher) step(ctx context.Context) (changed bool, err error) {
 	if w.since == 0 {
-		return w.readList(ctx)
+		return true, w.readList(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
+	ctx, cancel := context.WithTimeout(ctx, w.wait+feedSlack)
 	defer cancel()
-	rows, err := w.feed(ctx, w.since, feedWait)
+	rows, err := w.feed(ctx, w.since, w.wait)
 	var gone *platform.HistoryGoneError
 	if errors.As(err, &gone) {
 		w.g.log.Warn("history of the store is gone; listing again", "table", w.name, "since", gone.Since)
 		w.since = 0
-		return nil
+		return false, nil
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	w.succeeded()
 	w.fed(rows)
 	w.since = max(w.since, rows.Revision())
-	return nil
+	return len(rows.All()) > 0, nil
 }
 
 func (w *watcher) readList(ctx context.Context) error {
--- a/cmd/router/office/configuration.go
+++ b/cmd/router/office/configuration.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"vanillalug.example/cmd/router/meter"
-	"vanillalug.example/peer"
 	"vanillalug.example/depot"
+	"vanillalug.example/peer"
 	"vanillalug.example/register"
 )
 
--- a/cmd/router/office/group_writer_test.go
+++ b/cmd/router/office/group_writer_test.go
@@ -11,8 +11,8 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
-	"vanillalug.example/ledger"
 	"vanillalug.example/depot"
+	"vanillalug.example/ledger"
 	"vanillalug.example/schedule"
 )
 
--- a/cmd/router/office/journal.go
+++ b/cmd/router/office/journal.go
@@ -10,8 +10,8 @@
 	"github.com/hashicorp/go-hclog"
 
 	"vanillalug.example/cmd/router/meter"
-	"vanillalug.example/ledger"
 	"vanillalug.example/depot"
+	"vanillalug.example/ledger"
 	"vanillalug.example/schedule"
 )
 
--- a/cmd/router/office/journal_rows.go
+++ b/cmd/router/office/journal_rows.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"vanillalug.example/cmd/router/meter"
-	"vanillalug.example/ledger"
 	"vanillalug.example/depot"
+	"vanillalug.example/ledger"
 )
 
 const (
--- a/cmd/router/office/membership.go
+++ b/cmd/router/office/membership.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/depot"
 	"vanillalug.example/dispatch"
 	"vanillalug.example/peer"
-	"vanillalug.example/depot"
 	"vanillalug.example/register"
 	"vanillalug.example/roster"
 )
--- a/crew/book.go
+++ b/crew/book.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // ReturnTime is how long after the registry's return an entry that lapsed
@@ -203,3 +205,16 @@
 	}
 	return out
 }
+
+// Digest is equal for books that believe the same.
+func (b *Book) Digest() uint64 {
+	var sum uint64
+	for _, e := range b.targets {
+		d := xxhash.New()
+		_, _ = d.WriteString(e.target.Lifetime())
+		_, _ = d.WriteString(e.target.address)
+		_, _ = d.Write([]byte{byte(e.target.state)})
+		sum ^= d.Sum64()
+	}
+	return sum
+}
