--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -13,15 +13,10 @@
 // stream sends events on as they come. A stream that breaks off goes on at
 // another target where the route allows it.
 func (t *trip) stream(ctx context.Context, p *post, o answered, first func()) bool {
-	if !t.answering {
-		o.answer.Copy(t.w.Header())
-	}
 	err := t.copyEvents(o, first)
 	t.finish(o, err)
 	if err == nil {
-		if !t.answering {
-			t.w.WriteHeader(o.answer.Status())
-		}
+		t.begin(o)
 		p.succeeded()
 		t.logEnd(o.answer.Status(), "answered", nil)
 		return false
@@ -41,6 +36,17 @@
 	return false
 }
 
+// begin sends the head of the answer, once. Until then nothing of a target's
+// answer is in the headers, as the answer may still become a failure of ours.
+func (t *trip) begin(o answered) {
+	if t.answering {
+		return
+	}
+	t.answering = true
+	o.answer.Copy(t.w.Header())
+	t.w.WriteHeader(o.answer.Status())
+}
+
 // callerError says that the caller can't be written to.
 type callerError struct{ cause error }
 
@@ -60,10 +66,7 @@
 		whole := events.add(n)
 		if len(whole) > 0 {
 			first()
-			if !t.answering {
-				t.answering = true
-				t.w.WriteHeader(o.answer.Status())
-			}
+			t.begin(o)
 			if _, err := t.w.Write(whole); err != nil {
 				return &callerError{cause: err}
 			}
