Place by the cost of reading prompts, and tell peers what was placed

The bound of 1.3 x mean + 2 sent a shared prompt of 10,000 tokens to a second and third engine although engines had room, and each new engine took over a share of the prompts at once. Ruled out: evictions (memory is far from full, 0 preemptions) and engine queues (busiest/mean 1.1).

Change: an engine costs what waits there unread, 5 ms a request, and ten times the reading time of the shared prompt where it is not held. Routers remember where prompts were placed and tell each other in the datagrams. Where nobody is known to hold a prompt, the first of the rendezvous order counts as the holder, so that routers without a memory meet there.

--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -42,6 +42,7 @@
 	log    hclog.Logger
 	store  *platform.Store
 	board  *fitting.Board
+	memory *fitting.Memory
 	budget *allowance.Window
 	peers  *peers
 	// peerClient sends calls to other routers.
@@ -75,6 +76,7 @@
 		cfg: cfg, clock: clock, log: log, store: store, peerClient: peerClient,
 		wake:   make(chan struct{}, 1),
 		board:  fitting.NewBoard(),
+		memory: fitting.NewMemory(),
 		budget: allowance.NewWindow(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
 		book:   crew.NewBook(),
 	}
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 	// of them each is told less often.
 	peersPerInterval = 24
 	maxDatagram      = 8 << 10
+	// maxPlaced bounds the placements that wait to be told.
+	maxPlaced = 256
 )
 
 // peers are the other routers, as they announced themselves or were heard.
@@ -34,6 +37,13 @@
 	turn      int
 	quiet     int
 	ahead     map[string]ahead
+	placed    []placed
+}
+
+// placed is a placement that peers are still told of.
+type placed struct {
+	at        time.Time
+	placement fitting.Placement
 }
 
 // ahead is what a peer said that it knows.
@@ -94,6 +104,34 @@
 	return true
 }
 
+// place keeps a placement for the next datagrams.
+func (p *peers) place(placement fitting.Placement, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.placed) < maxPlaced {
+		p.placed = append(p.placed, placed{at: now, placement: placement})
+	}
+}
+
+// recent returns the placements that some peer may not have been told of
+// twice, as datagrams are lost at times.
+func (p *peers) recent(now time.Time) []fitting.Placement {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	groups := max((len(p.addresses)+peersPerInterval-1)/peersPerInterval, 1)
+	since := now.Add(-time.Duration(2*groups) * shareInterval)
+	first := 0
+	for first < len(p.placed) && p.placed[first].at.Before(since) {
+		first++
+	}
+	p.placed = slices.Delete(p.placed, 0, first)
+	out := make([]fitting.Placement, len(p.placed))
+	for i, x := range p.placed {
+		out[i] = x.placement
+	}
+	return out
+}
+
 // listenPeers opens the socket for datagrams.
 func (g *Gateway) listenPeers(ctx context.Context) error {
 	address, err := net.ResolveUDPAddr("udp4", g.cfg.PeerAddress)
@@ -111,12 +149,12 @@
 }
 
 // shareLoads tells peers this router's own work and what it knows.
-func (g *Gateway) shareLoads(time.Time) {
+func (g *Gateway) shareLoads(now time.Time) {
 	own := g.board.Own()
 	if !g.peers.speak(len(own) > 0) {
 		return
 	}
-	message, err := proto.Marshal(g.share(own))
+	message, err := proto.Marshal(g.share(own, now))
 	if err != nil {
 		g.log.Error("cannot write the loads for peers", "error", err)
 		return
@@ -128,7 +166,7 @@
 	}
 }
 
-func (g *Gateway) share(own map[fitting.Key]fitting.Load) *peer.Share {
+func (g *Gateway) share(own map[fitting.Key]fitting.Load, now time.Time) *peer.Share {
 	k := g.known()
 	out := &peer.Share{
 		From: g.cfg.Name, PlanVersion: k.version, RegistryRevision: k.revision, RegistryDigest: k.digest,
@@ -139,6 +177,9 @@
 			Target: uint64(key), Requests: uint32(max(l.Requests(), 0)), Unread: uint32(max(l.Unread(), 0)),
 		})
 	}
+	for _, p := range g.peers.recent(now) {
+		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
+	}
 	return out
 }
 
@@ -167,7 +208,11 @@
 	for _, l := range s.Loads {
 		loads[fitting.Key(l.Target)] = fitting.NewLoad(int(l.Requests), int(l.Unread))
 	}
-	g.board.Hear(s.From, loads, g.clock.Now())
+	now := g.clock.Now()
+	g.board.Hear(s.From, loads, now)
+	for _, p := range s.Placements {
+		g.memory.Note(fitting.Placement{Prompt: p.Prompt, Target: fitting.Key(p.Target)}, now)
+	}
 	a := ahead{from: from, version: s.PlanVersion, revision: s.RegistryRevision, digest: s.RegistryDigest}
 	g.peers.heard(s.From, a)
 	if g.known().behind(a) {
--- a/cmd/router/gateway/trip.go
+++ b/cmd/router/gateway/trip.go
@@ -76,10 +76,14 @@
 		keys[i] = p.key
 	}
 	loads := t.g.board.Loads(keys, now)
+	held := make([]bool, len(posts))
+	if prompt, ok := t.req.Work().Key(); ok {
+		held = t.g.memory.Held(prompt, keys, now)
+	}
 	candidates := make([]fitting.Candidate, len(posts))
 	for i, p := range posts {
 		candidates[i] = fitting.Candidate{
-			Target: p.target, Load: loads[i], Suspect: p.suspect(now), Tried: t.tried[p.key],
+			Target: p.target, Load: loads[i], Held: held[i], Suspect: p.suspect(now), Tried: t.tried[p.key],
 		}
 	}
 	q := fitting.Question{Work: t.req.Work(), Place: t.g.cfg.Place, Random: t.g.seed.Add(1)}
@@ -102,6 +106,7 @@
 	t.target = p.target.Lifetime()
 	unread := t.req.Work().Prompt()
 	t.g.board.Add(p.key, 1, unread)
+	t.note(p)
 	read := false
 	first := func() {
 		if !read {
@@ -126,6 +131,18 @@
 	return false
 }
 
+// note remembers, here and at the peers, where a shared prompt is cached.
+func (t *trip) note(p *post) {
+	prompt, ok := t.req.Work().Key()
+	if !ok {
+		return
+	}
+	now := t.g.clock.Now()
+	placement := fitting.Placement{Prompt: prompt, Target: p.key}
+	t.g.memory.Note(placement, now)
+	t.g.peers.place(placement, now)
+}
+
 func (t *trip) afterNeverSent(p *post, o neverSent) bool {
 	t.connects++
 	p.failed(t.g.clock.Now())
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -9,14 +9,19 @@
 )
 
 const (
-	// boundFactor is the largest multiple of the mean load at which a target is
-	// still preferred for what it has cached.
-	boundFactor = 1.3
+	// boundFactor is the largest multiple of the mean load that a target may
+	// carry while another one carries less.
+	boundFactor = 1.7
 	// boundExtra is added to the bound, in requests.
 	boundExtra = 2
-	// maxUnread is how many prompt tokens may wait to be read at the preferred
-	// target of a shared prompt.
-	maxUnread = 16000
+	// prefillRate is how many prompt tokens an engine is taken to read in a
+	// millisecond.
+	prefillRate = 50
+	// readWeight is how much more it counts that an engine reads a prompt than
+	// that the request waits, as the streams beside it wait too.
+	readWeight = 10
+	// requestCost is what a request slows the others beside it, in milliseconds.
+	requestCost = 5
 	// queueFactor is the multiple of a plain target's slots that it may be sent.
 	queueFactor = 4
 )
@@ -25,6 +30,8 @@
 type Candidate struct {
 	Target crew.Target
 	Load   Load
+	// Held says that the target has read the shared prompt lately.
+	Held bool
 	// Suspect marks a target that failed lately.
 	Suspect bool
 	// Tried marks a target that this request was already sent to.
@@ -82,35 +89,50 @@
 	return chooseIdle(q, all, left)
 }
 
-// chooseCached prefers the targets that have the shared prompt cached: the
-// first in an order that all routers share whose load is in bounds.
+// chooseCached picks the engine that costs least: what waits there already,
+// and the shared prompt where it must be read.
 func chooseCached(q Question, key uint64, all []Candidate, left []int) Verdict {
 	total := 0
 	for _, i := range left {
 		total += all[i].Load.requests
 	}
-	bound := int(math.Ceil(boundFactor*float64(total)/float64(len(left)))) + boundExtra
-	order := slices.Clone(left)
-	slices.SortFunc(order, func(a, b int) int {
-		return cmp.Compare(score(key, all[b].Target), score(key, all[a].Target))
-	})
-	for _, i := range order {
-		l := all[i].Load
-		if l.requests < bound && l.requests < q.Slots && l.unread < maxUnread {
-			return Chosen{Index: i}
-		}
+	mean := float64(total) / float64(len(left))
+	bound := min(int(math.Ceil(boundFactor*mean))+boundExtra, q.Slots)
+	within := slices.DeleteFunc(slices.Clone(left), func(i int) bool { return all[i].Load.requests >= bound })
+	if len(within) == 0 {
+		within = left
 	}
-	return Chosen{Index: least(order, all)}
+	home := homeOf(key, all, left)
+	best := slices.MinFunc(within, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(cost(q.Work, all[a], a == home), cost(q.Work, all[b], b == home)),
+			cmp.Compare(score(key, all[b].Target), score(key, all[a].Target)))
+	})
+	return Chosen{Index: best}
 }
 
-func least(order []int, all []Candidate) int {
-	return slices.MinFunc(order, func(a, b int) int {
-		return cmp.Or(
-			cmp.Compare(all[a].Load.unread/1000, all[b].Load.unread/1000),
-			cmp.Compare(all[a].Load.requests, all[b].Load.requests))
+// homeOf returns the candidate that is first for a prompt in an order that all
+// routers share, or -1 where some candidate is known to hold it. A router that
+// remembers nothing meets the others there.
+func homeOf(key uint64, all []Candidate, left []int) int {
+	if slices.ContainsFunc(left, func(i int) bool { return all[i].Held }) {
+		return -1
+	}
+	return slices.MaxFunc(left, func(a, b int) int {
+		return cmp.Compare(score(key, all[a].Target), score(key, all[b].Target))
 	})
 }
 
+// cost is the time that the work takes from everybody at the target, in
+// milliseconds.
+func cost(w Work, c Candidate, home bool) int {
+	ms := c.Load.unread/prefillRate + c.Load.requests*requestCost
+	if !c.Held && !home {
+		ms += readWeight * w.Reusable() / prefillRate
+	}
+	return ms
+}
+
 // chooseIdle picks the least loaded target, nearer ones first.
 func chooseIdle(q Question, all []Candidate, left []int) Verdict {
 	best := slices.MinFunc(left, func(a, b int) int {
--- a/fitting/work.go
+++ b/fitting/work.go
@@ -41,12 +41,12 @@
 // Output returns the most output tokens.
 func (w Work) Output() int { return w.output }
 
-// Shared returns the tokens of all parts but the last, which belongs to the
-// request or its session.
-func (w Work) Shared() int {
+// Reusable returns the tokens of the longest part that requests share; the
+// parts before it are shared by more of them and cached nearly everywhere.
+func (w Work) Reusable() int {
 	n := 0
 	for _, p := range w.shared() {
-		n += p.tokens
+		n = max(n, p.tokens)
 	}
 	return n
 }
@@ -58,7 +58,7 @@
 	if len(shared) == 0 {
 		return 0, false
 	}
-	key := uint64(len(shared))
+	key := uint64(KeyOf(w.model))
 	for _, p := range shared {
 		key = mix(key ^ p.id)
 	}
