--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -35,7 +35,7 @@
 	memoryShare = 0.7
 	gcPercent   = 60
 	// leaveMargin is kept from the end of the grace time.
-	leaveMargin = 150 * time.Millisecond
+	leaveMargin = 300 * time.Millisecond
 	// balancerTime is how long the balancer may go on to send new connections.
 	balancerTime = 2800 * time.Millisecond
 )
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -16,7 +16,7 @@
 	// without changes. It bounds how long a store that fell silent is believed
 	// to be there.
 	registryWait = 2 * time.Second
-	// planWait is longer: this feed is asked again when the registry's fails.
+	// planWait is longer: this feed is asked again when the registry's is back.
 	planWait = 20 * time.Second
 	// feedSlack is how much longer than the wait an answer may take.
 	feedSlack   = 700 * time.Millisecond
@@ -47,11 +47,12 @@
 		g: g, name: "registry", wait: registryWait,
 		list: g.store.Targets, feed: g.store.TargetChanges,
 		listed: g.applyTargetList, fed: g.applyTargetRows,
-		lost: func(now time.Time) {
-			g.handle(crew.Lost{At: now})
+		lost: func(now time.Time) { g.handle(crew.Lost{At: now}) },
+		regained: func(now time.Time) {
+			g.handle(crew.Regained{At: now})
+			// What the other feed waits for may have been lost with its channel.
 			plan.interrupt()
 		},
-		regained: func(now time.Time) { g.handle(crew.Regained{At: now}) },
 	}
 	return watchers{plan: plan, registry: registry}
 }
