--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -49,7 +49,7 @@
 	client := reception.NewClient("store",
 		reception.WithConnectTimeout(storeConnect), reception.WithKeepAlive(storeKeepAlive, storeKeepAlive))
 	g := gateway.New(gateway.Config{
-		Name: cfg.Name(), Place: cfg.Place(), PeerAddress: cfg.Peers(),
+		Name: cfg.Name(), Place: cfg.Place(), PeerAddress: cfg.Peers(), Seeds: cfg.Seeds(),
 		RetryRatio: cfg.RetryRatio(), RetryExtra: cfg.RetryExtra(), RetryWindow: cfg.RetryWindow(),
 		Grace: cfg.Grace(),
 	}, clock, log, platform.NewStore(client, cfg.Store()),
@@ -75,7 +75,7 @@
 			return exitFailure
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				reload(file, log)
+				reload(file, g, log)
 				continue
 			}
 			return leaveDeployment(cfg, g, entry, log)
@@ -120,14 +120,15 @@
 }
 
 // reload reads the settings again. A file with faults changes nothing.
-func reload(file string, log hclog.Logger) {
+func reload(file string, g *gateway.Gateway, log hclog.Logger) {
 	cfg, err := settings.LoadDeployment(file)
 	if err != nil {
 		log.Error("settings not reloaded; the ones in force stay", "error", err)
 		return
 	}
 	log.SetLevel(hclog.LevelFromString(cfg.LogLevel()))
-	log.Info("settings reloaded", "log-level", cfg.LogLevel())
+	g.SetSeeds(cfg.Seeds())
+	log.Info("settings reloaded", "log-level", cfg.LogLevel(), "seeds", len(cfg.Seeds()))
 }
 
 // leaveDeployment takes what still comes until the balancer has turned away,
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"vanillalug.example/crew"
@@ -14,6 +16,8 @@
 	behindDelay = 250 * time.Millisecond
 	// beliefsTimeout bounds a call to a peer.
 	beliefsTimeout = 600 * time.Millisecond
+	// seedDelay is the time between two questions to seeds; it is spread by half.
+	seedDelay = 300 * time.Millisecond
 )
 
 // knowledge is which version of everything this router acts on.
@@ -62,7 +66,7 @@
 		}
 		g.watchers.plan.interrupt()
 		g.watchers.registry.interrupt()
-		g.askPeer(ctx, a)
+		g.askPeer(ctx, a.from)
 	}
 }
 
@@ -81,19 +85,36 @@
 	return best, found
 }
 
-func (g *Gateway) askPeer(ctx context.Context, a ahead) {
+// askSeeds asks the seeds while this router knows nothing, as the store may
+// turn away just this one.
+func (g *Gateway) askSeeds(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, seedDelay/2+rand.N(seedDelay))
+		if g.Ready() {
+			return
+		}
+		seeds := g.peers.seedList()
+		if len(seeds) > 0 {
+			g.askPeer(ctx, seeds[rand.IntN(len(seeds))])
+		}
+	}
+}
+
+// askPeer takes over what a peer knows beyond this router.
+func (g *Gateway) askPeer(ctx context.Context, address netip.AddrPort) {
 	k := g.known()
 	ctx, cancel := context.WithTimeout(ctx, beliefsTimeout)
 	defer cancel()
-	client := peer.NewBeliefsProtobufClient("http://"+a.from.String(), g.peerClient)
+	client := peer.NewBeliefsProtobufClient("http://"+address.String(), g.peerClient)
 	reply, err := client.GetBeliefs(ctx, &peer.GetBeliefsRequest{PlanVersion: k.version, RegistryRevision: k.revision})
 	if err != nil {
-		g.log.Warn("a peer that knows more did not answer", "peer", a.from.String(), "version", a.version,
-			"revision", a.revision, "error", err)
+		g.log.Warn("a peer did not tell what it knows", "peer", address.String(), "version", k.version,
+			"revision", k.revision, "error", err)
 		return
 	}
+	g.peers.add(g.routersOf(reply.Routers))
 	if len(reply.Plan) > 0 {
-		g.applyPlan(reply.Plan, "peer "+a.from.String())
+		g.applyPlan(reply.Plan, "peer "+address.String())
 	}
 	if reply.RegistryRevision > k.revision {
 		g.handle(crew.Listed{
@@ -111,6 +132,9 @@
 			out.Plan = p.raw
 		}
 	}
+	for name, a := range g.peers.all() {
+		out.Routers = append(out.Routers, &peer.RouterAddress{Name: name, Address: a.String()})
+	}
 	g.bookMu.Lock()
 	defer g.bookMu.Unlock()
 	out.RegistryRevision = g.book.Revision()
@@ -126,6 +150,21 @@
 	return out, nil
 }
 
+func (g *Gateway) routersOf(in []*peer.RouterAddress) map[string]netip.AddrPort {
+	out := make(map[string]netip.AddrPort, len(in))
+	for _, r := range in {
+		address, err := netip.ParseAddrPort(r.Address)
+		if err != nil {
+			g.log.Warn("a router's address can't be read", "router", r.Name, "error", err)
+			continue
+		}
+		if r.Name != g.cfg.Name {
+			out[r.Name] = address
+		}
+	}
+	return out
+}
+
 func believedTargets(in []*peer.BelievedTarget) []crew.Target {
 	out := make([]crew.Target, 0, len(in))
 	for _, b := range in {
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,8 @@
 	Place string
 	// PeerAddress is where peers reach this router, over TCP and UDP.
 	PeerAddress string
+	// Seeds are where some other routers were reached at some time.
+	Seeds []netip.AddrPort
 	// RetryRatio is the share of a service's requests that may be sent again.
 	RetryRatio float64
 	// RetryExtra is what all routers together may send again besides.
@@ -82,6 +85,7 @@
 	}
 	g.targets.Store(&targets{byService: map[string][]*post{}, byLifetime: map[string]*post{}})
 	g.peers = newPeers()
+	g.SetSeeds(cfg.Seeds)
 	g.watchers = g.newWatchers()
 	return g
 }
@@ -95,6 +99,7 @@
 	go g.watchers.registry.run(ctx)
 	go g.announce(ctx)
 	go g.catchUp(ctx)
+	go g.askSeeds(ctx)
 	stops := []func(){
 		g.clock.Every(shareInterval, g.shareLoads),
 		g.clock.Every(tidyInterval, g.tidy),
@@ -107,6 +112,9 @@
 	return nil
 }
 
+// SetSeeds replaces the addresses that are asked while nothing is known.
+func (g *Gateway) SetSeeds(seeds []netip.AddrPort) { g.peers.setSeeds(seeds) }
+
 // Ready reports whether new connections are welcome.
 func (g *Gateway) Ready() bool {
 	return !g.stopping.Load() && g.plan.Load() != nil && len(g.targets.Load().byLifetime) > 0
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -34,6 +35,7 @@
 
 	mu        sync.Mutex
 	addresses map[string]netip.AddrPort
+	seeds     []netip.AddrPort
 	turn      int
 	quiet     int
 	ahead     map[string]ahead
@@ -65,6 +67,37 @@
 	p.addresses = found
 }
 
+// add takes in addresses beside those that are known.
+func (p *peers) add(found map[string]netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, a := range found {
+		if _, known := p.addresses[name]; !known {
+			p.addresses[name] = a
+		}
+	}
+}
+
+// all returns the known routers.
+func (p *peers) all() map[string]netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.addresses)
+}
+
+// setSeeds sets the addresses that are asked while nothing is known.
+func (p *peers) setSeeds(seeds []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.seeds = seeds
+}
+
+func (p *peers) seedList() []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.seeds
+}
+
 // heard takes in what a peer knows and where it is.
 func (p *peers) heard(name string, a ahead) {
 	p.mu.Lock()
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -26,6 +26,8 @@
 	// retryDelay is the first delay after a failed call; it is spread by half.
 	retryDelay    = 120 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// maxStartDelay holds while this router knows nothing of a table.
+	maxStartDelay = 200 * time.Millisecond
 )
 
 // errInterrupted ends a call whose answer is needed sooner.
@@ -168,7 +170,11 @@
 }
 
 func (w *watcher) delay() time.Duration {
-	d := min(retryDelay<<min(w.failures-1, 4), maxRetryDelay)
+	longest := maxRetryDelay
+	if w.since == 0 {
+		longest = maxStartDelay
+	}
+	d := min(retryDelay<<min(w.failures-1, 4), longest)
 	return d/2 + rand.N(d)
 }
 
--- a/cmd/router/settings/deployment.go
+++ b/cmd/router/settings/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"time"
 
@@ -27,6 +28,7 @@
 	entry       string
 	ready       string
 	peers       string
+	seeds       []netip.AddrPort
 	metrics     string
 	store       string
 	retryRatio  float64
@@ -63,6 +65,14 @@
 	d.ready = listen.Address("ready")
 	d.peers = listen.Address("peers")
 	d.metrics = listen.Address("metrics")
+	for _, text := range in.Only("peers").List("seeds") {
+		seed, err := netip.ParseAddrPort(text)
+		if err != nil {
+			in.Only("peers").Fault("seeds", fmt.Sprintf("%q: want IP numbers and ports", text))
+			continue
+		}
+		d.seeds = append(d.seeds, seed)
+	}
 	d.store = in.Only("store").Address("address")
 	retries := in.Only("retries")
 	d.retryRatio = retries.Number("ratio", defaultRetryRatio, 0, 1)
@@ -93,6 +103,9 @@
 // Peers returns the address for the other routers, over TCP and UDP.
 func (d *Deployment) Peers() string { return d.peers }
 
+// Seeds returns where some other routers were reached at some time.
+func (d *Deployment) Seeds() []netip.AddrPort { return d.seeds }
+
 // Metrics returns the address of the metrics.
 func (d *Deployment) Metrics() string { return d.metrics }
 
