--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -36,13 +36,18 @@
 	gcPercent   = 60
 	// leaveMargin is kept from the end of the grace time.
 	leaveMargin = 300 * time.Millisecond
+	// flushTime bounds the wait for the last lines of the log.
+	flushTime = 100 * time.Millisecond
 	// balancerTime is how long the balancer may go on to send new connections.
 	balancerTime = 2800 * time.Millisecond
 )
 
 // serveDeployment runs a router on the users' platform until it is told to stop.
 func serveDeployment(file string, cfg *settings.Deployment) int {
-	log := reception.NewLogger("router", cfg.LogLevel(), true, os.Stdout).With("router", cfg.Name())
+	out := reception.NewBoundedWriter(os.Stdout)
+	defer out.Flush(flushTime)
+	meter.Gauge("log_lines_left_out", func() float64 { return float64(out.Dropped()) })
+	log := reception.NewLogger("router", cfg.LogLevel(), true, out).With("router", cfg.Name())
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(cfg.Memory()<<20) * memoryShare))
 	clock := schedule.NewSystem()
--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -35,19 +35,22 @@
 	if o.answer.Status() >= http.StatusInternalServerError {
 		p.failed(t.g.clock.Now())
 		if t.route.Repeatable() && t.mayRepeat() {
-			t.logAttempt("failed with status "+strconv.Itoa(o.answer.Status()), nil)
+			t.detail = "status " + strconv.Itoa(o.answer.Status())
+			t.logAttempt("target failed", nil)
 			return true
 		}
 	} else {
 		p.succeeded()
 	}
 	if t.answering {
-		t.breakOff("target failed with status "+strconv.Itoa(o.answer.Status()), nil)
+		t.detail = "status " + strconv.Itoa(o.answer.Status())
+		t.breakOff("target failed", nil)
 	}
 	if o.answer.PromisesNotRun() {
 		// Without the target's word that it did not run the request, its
 		// status must not become our promise.
-		t.refuse(&refusal{status: http.StatusBadGateway, reason: "target failed with status " + strconv.Itoa(o.answer.Status())})
+		t.detail = "status " + strconv.Itoa(o.answer.Status())
+		t.refuse(&refusal{status: http.StatusBadGateway, reason: "target failed without saying that it did not run the request"})
 		return false
 	}
 	t.answer(o, body)
--- a/cmd/router/gateway/log.go
+++ b/cmd/router/gateway/log.go
@@ -1,19 +1,41 @@
 package gateway
 
-// logAttempt writes what became of one send.
+import (
+	"strconv"
+
+	"vanillalug.example/cmd/router/meter"
+)
+
+// logAttempt writes and counts what became of one send.
 func (t *trip) logAttempt(outcome string, cause error) {
+	meter.CountBy("attempts", "service", t.service, "outcome", outcome)
 	t.g.log.Info("attempt", "request", t.req.ID(), "route", t.route.Name(), "target", t.target,
-		"outcome", outcome, "sends", t.sends, "ms", t.g.clock.Now().Sub(t.start).Milliseconds(), "error", cause)
+		"outcome", outcome, "detail", t.detail, "last-event", t.lastEvent, "sends", t.sends,
+		"left-ms", t.deadline.Sub(t.g.clock.Now()).Milliseconds(), "ms", t.elapsed().Milliseconds(),
+		"revision", t.g.known().revision, "error", cause)
 }
 
-// logEnd writes how a request ended.
+// logEnd writes and counts how a request ended.
 func (t *trip) logEnd(status int, outcome string, cause error) {
-	route, version := "", uint64(0)
+	route, kind, version := "", "", uint64(0)
 	if t.route != nil {
-		route = t.route.Name()
-		version = t.plan.Version()
+		route, kind, version = t.route.Name(), t.route.Kind().String(), t.plan.Version()
+	}
+	meter.CountBy("requests", "kind", kind, "status", strconv.Itoa(status), "outcome", outcome)
+	meter.ObserveBy("answer", t.elapsed(), "workspace", t.workspace, "kind", kind)
+	fields := []any{
+		"request", t.req.ID(), "workspace", t.workspace, "route", route, "version", version, "kind", kind,
+		"service", t.service, "target", t.target, "status", status, "outcome", outcome, "sends", t.sends,
+		"ran", t.ran, "ms", t.elapsed().Milliseconds(),
+	}
+	if t.choice != "" {
+		fields = append(fields, "choice", t.choice)
+	}
+	if t.detail != "" {
+		fields = append(fields, "detail", t.detail)
+	}
+	if cause != nil {
+		fields = append(fields, "error", cause)
 	}
-	t.g.log.Info("request", "request", t.req.ID(), "workspace", t.workspace, "route", route, "version", version,
-		"target", t.target, "status", status, "outcome", outcome, "sends", t.sends,
-		"ms", t.g.clock.Now().Sub(t.start).Milliseconds(), "error", cause)
+	t.g.log.Info("request", fields...)
 }
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -5,6 +5,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"vanillalug.example/cmd/router/meter"
 )
 
 // streamBuffer is the size of the buffer for events, in bytes.
@@ -25,7 +27,7 @@
 	if errors.As(err, &caller) || t.r.Context().Err() != nil {
 		t.breakOff("caller is gone", err)
 	}
-	t.logAttempt("stream broke off after event "+t.lastEvent, err)
+	t.logAttempt("stream broke off", err)
 	if ctx.Err() == nil {
 		p.failed(t.g.clock.Now())
 	}
@@ -43,6 +45,7 @@
 		return
 	}
 	t.answering = true
+	meter.ObserveBy("first_event", t.elapsed(), "workspace", t.workspace, "kind", t.route.Kind().String())
 	o.answer.Copy(t.w.Header())
 	t.w.WriteHeader(o.answer.Status())
 }
--- a/cmd/router/gateway/trip.go
+++ b/cmd/router/gateway/trip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -45,7 +46,11 @@
 	lastEvent string
 	// answering says that the head of a target's answer was sent on.
 	answering bool
-	target    string
+	// target, choice and detail say in the logs where the request went last
+	// and why.
+	target string
+	choice string
+	detail string
 }
 
 // run sends the request to targets until one answers or nothing is left to try.
@@ -92,6 +97,7 @@
 	}
 	switch v := fitting.Choose(q, candidates).(type) {
 	case fitting.Chosen:
+		t.choice = describe(candidates, v.Index)
 		return posts[v.Index], nil
 	case fitting.Full:
 		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: fullRetry}
@@ -99,6 +105,20 @@
 	return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: fullRetry}
 }
 
+// describe says in the logs what was known at a choice.
+func describe(candidates []fitting.Candidate, chosen int) string {
+	suspects, total := 0, 0
+	for _, c := range candidates {
+		total += c.Load.Requests()
+		if c.Suspect {
+			suspects++
+		}
+	}
+	c := candidates[chosen]
+	return fmt.Sprintf("held=%t load=%d unread=%d of=%d total=%d suspects=%d",
+		c.Held, c.Load.Requests(), c.Load.Unread(), len(candidates), total, suspects)
+}
+
 // attempt sends the request to a target; it returns true where another target
 // may be tried.
 func (t *trip) attempt(ctx context.Context, p *post) bool {
@@ -194,6 +214,8 @@
 	return t.r.Context().Err() != nil || !t.g.clock.Now().Before(t.deadline)
 }
 
+func (t *trip) elapsed() time.Duration { return t.g.clock.Now().Sub(t.start) }
+
 // giveUp ends the request with a failure that is true of everything sent.
 func (t *trip) giveUp(p *refusal) {
 	if t.answering {
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/crew"
 	"vanillalug.example/platform"
 )
@@ -90,11 +92,14 @@
 	w.mu.Lock()
 	w.cancel = cancel
 	w.mu.Unlock()
+	start := w.g.clock.Now()
 	changed, err := w.step(call)
+	meter.CountBy("store_calls", "table", w.name, "ok", strconv.FormatBool(err == nil))
 	switch {
 	case ctx.Err() != nil:
 	case errors.Is(context.Cause(call), errInterrupted):
 	case err != nil:
+		meter.ObserveBy("store_failure", w.g.clock.Now().Sub(start), "table", w.name)
 		w.failed(err)
 		sleep(ctx, w.delay())
 	case changed:
--- a/cmd/router/meter/meter.go
+++ b/cmd/router/meter/meter.go
@@ -4,6 +4,8 @@
 import (
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -66,6 +68,30 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`vanillalug_%s_total{%s=%q}`, name, label, value)).Inc()
 }
 
+// CountBy counts an event by its name and pairs of labels and values.
+func CountBy(name string, labels ...string) {
+	metrics.GetOrCreateCounter(labelled("vanillalug_"+name+"_total", labels)).Inc()
+}
+
+// ObserveBy records a duration under a name and pairs of labels and values.
+func ObserveBy(name string, d time.Duration, labels ...string) {
+	metrics.GetOrCreateHistogram(labelled("vanillalug_"+name+"_seconds", labels)).Update(d.Seconds())
+}
+
+func labelled(name string, labels []string) string {
+	var b strings.Builder
+	b.WriteString(name)
+	separator := "{"
+	for i := 0; i+1 < len(labels); i += 2 {
+		b.WriteString(separator + labels[i] + "=" + strconv.Quote(labels[i+1]))
+		separator = ","
+	}
+	if separator == "," {
+		b.WriteString("}")
+	}
+	return b.String()
+}
+
 // Add adds to a counter without labels.
 func Add(name string, n int) {
 	metrics.GetOrCreateCounter("vanillalug_" + name + "_total").Add(n)
