--- /dev/null
+++ b/cmd/router/gateway/beliefs_test.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalug.example/platform/platformtest"
+)
+
+func (s *station) version() uint64 {
+	if p := s.g.plan.Load(); p != nil {
+		return p.plan.Version()
+	}
+	return 0
+}
+
+func (s *station) publish(version int) {
+	s.store.PutJSON("op", "config", platformtest.Plan(version, []string{testKey}, routes()...))
+}
+
+func TestVersionsNeverRegress(t *testing.T) {
+	s := newStation(t)
+	s.add(plain, "p1")
+	s.ready(1)
+	s.publish(5)
+	require.Eventually(t, func() bool { return s.version() == 5 }, soon, tick)
+	s.publish(3)
+	s.publish(6)
+	require.Eventually(t, func() bool { return s.version() == 6 }, soon, tick)
+	s.store.Put("op", "config", []byte("not a table"))
+	s.publish(7)
+	require.Eventually(t, func() bool { return s.version() == 7 }, soon, tick)
+}
+
+// TestStoreFaults: after each fault of the store the router is up to date
+// within the two seconds that the rules leave.
+func TestStoreFaults(t *testing.T) {
+	for _, fault := range []platformtest.Fault{platformtest.Busy, platformtest.Reset, platformtest.Silent} {
+		t.Run(string(fault), func(t *testing.T) {
+			t.Parallel()
+			s := newStation(t)
+			targets := s.add(plain, "p1")
+			s.ready(1)
+			s.store.SetFault(fault)
+			time.Sleep(4 * time.Second)
+			require.Equal(t, 200, s.post("/once/x", "id", "y").status, "served while the store is away")
+			s.store.SetFault(platformtest.None)
+			time.Sleep(time.Second)
+			s.publish(2)
+			s.store.PutJSON("servers", "p1", targets[0].Entry("draining"))
+			require.Eventually(t, func() bool {
+				return s.version() == 2 && len(s.g.targets.Load().byLifetime) == 0
+			}, 4*time.Second, tick)
+		})
+	}
+}
+
+func TestHistoryGone(t *testing.T) {
+	s := newStation(t)
+	s.add(plain, "p1")
+	s.ready(1)
+	s.store.SetFault(platformtest.Busy)
+	s.publish(2)
+	s.add(plain, "p2")
+	s.store.Compact()
+	s.store.SetFault(platformtest.None)
+	s.ready(2)
+	require.Eventually(t, func() bool { return s.version() == 2 }, soon, tick)
+}
+
+func TestEntriesThatNameNoTarget(t *testing.T) {
+	s := newStation(t)
+	s.add(plain, "p1")
+	entries := map[string]any{
+		"no address":     map[string]any{"service": plain, "zone": "a", "slots": 6, "state": "ready", "sequence": 1},
+		"wrong type":     map[string]any{"service": plain, "address": "127.0.0.1:1", "zone": "a", "slots": "6", "state": "ready", "sequence": 1},
+		"unknown state":  map[string]any{"service": plain, "address": "127.0.0.1:1", "zone": "a", "slots": 6, "state": "gone", "sequence": 1},
+		"born is broken": map[string]any{"service": plain, "address": "127.0.0.1:1", "zone": "a", "slots": 6, "state": "ready", "sequence": 1, "born": 1.5},
+		"no object":      []int{1},
+	}
+	for key, value := range entries {
+		s.store.PutJSON("servers", key, value)
+	}
+	s.store.Put("servers", "no json", []byte{0xff})
+	s.add(plain, "p2")
+	s.ready(2)
+}
+
+// TestPeersTell: a router that the store turns away hears versions and leaving
+// targets from a peer, and one that starts then hears all from a seed.
+func TestPeersTell(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	store.PutJSON("op", "config", platformtest.Plan(1, []string{testKey}, routes()...))
+	a := newStationAt(t, store, "a")
+	targets := a.add(plain, "p1", "p2")
+	a.ready(2)
+
+	away := platformtest.NewStore()
+	away.SetFault(platformtest.Busy)
+	seed := netip.MustParseAddrPort(a.g.cfg.PeerAddress)
+	b := newStationAt(t, away, "b", seed)
+	b.ready(2)
+	require.Equal(t, uint64(1), b.version())
+	require.True(t, b.g.Ready())
+
+	a.publish(9)
+	store.PutJSON("servers", "p1", targets[0].Entry("draining"))
+	require.Eventually(t, func() bool {
+		return b.version() == 9 && len(b.g.targets.Load().byLifetime) == 1
+	}, 2*time.Second, tick, "the bound for a leaving target")
+}
+
+// TestLogTellsWhatChanged: each change of a belief leaves a line.
+func TestLogTellsWhatChanged(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1")
+	s.ready(1)
+	s.store.PutJSON("servers", "p1", targets[0].Entry("draining"))
+	require.Eventually(t, func() bool { return len(s.g.targets.Load().byLifetime) == 0 }, soon, tick)
+	for _, want := range []string{
+		`"@message":"routing table in force"`,
+		`"@message":"target joined"`,
+		`"@message":"target left"`,
+		`"reason":"leaving"`,
+	} {
+		require.Contains(t, s.lines.String(), want)
+	}
+	w := s.post("/once/x", "lost", "y")
+	require.Equal(t, 503, w.status)
+	require.Contains(t, s.lines.String(), fmt.Sprintf(`"request":%q`, "lost"))
+	require.Contains(t, s.lines.String(), `"outcome":"no target"`)
+}
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -106,13 +106,18 @@
 	ctx, cancel := context.WithTimeout(ctx, beliefsTimeout)
 	defer cancel()
 	client := peer.NewBeliefsProtobufClient("http://"+address.String(), g.peerClient)
-	reply, err := client.GetBeliefs(ctx, &peer.GetBeliefsRequest{PlanVersion: k.version, RegistryRevision: k.revision})
+	reply, err := client.GetBeliefs(ctx, &peer.GetBeliefsRequest{
+		PlanVersion: k.version, RegistryRevision: k.revision,
+		From: &peer.RouterAddress{Name: g.cfg.Name, Address: g.cfg.PeerAddress},
+	})
 	if err != nil {
 		g.log.Warn("a peer did not tell what it knows", "peer", address.String(), "version", k.version,
 			"revision", k.revision, "error", err)
 		return
 	}
-	g.peers.add(g.routersOf(reply.Routers))
+	found := g.routersOf(reply.Routers)
+	found[reply.From] = address
+	g.peers.add(found)
 	if len(reply.Plan) > 0 {
 		g.applyPlan(reply.Plan, "peer "+address.String())
 	}
@@ -125,7 +130,10 @@
 
 // GetBeliefs implements peer.Beliefs.
 func (g *Gateway) GetBeliefs(_ context.Context, r *peer.GetBeliefsRequest) (*peer.GetBeliefsReply, error) {
-	out := &peer.GetBeliefsReply{}
+	out := &peer.GetBeliefsReply{From: g.cfg.Name}
+	if r.From != nil {
+		g.peers.add(g.routersOf([]*peer.RouterAddress{r.From}))
+	}
 	if p := g.plan.Load(); p != nil {
 		out.PlanVersion = p.plan.Version()
 		if p.plan.Version() > r.PlanVersion {
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -84,7 +84,7 @@
 		book:   crew.NewBook(),
 	}
 	g.targets.Store(&targets{byService: map[string][]*post{}, byLifetime: map[string]*post{}})
-	g.peers = newPeers()
+	g.peers = newPeers(clock)
 	g.SetSeeds(cfg.Seeds)
 	g.watchers = g.newWatchers()
 	return g
--- /dev/null
+++ b/cmd/router/gateway/gateway_test.go
@@ -0,0 +1,237 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalug.example/platform/platformtest"
+)
+
+// TestAnswers: what a caller gets for everything that two targets may do, one
+// after the other, and how often the request has run then.
+func TestAnswers(t *testing.T) {
+	const seal = "X-Response-Seal"
+	tests := map[string]struct {
+		path   string
+		does   []platformtest.Behaviour
+		status int
+		body   string
+		sealed bool
+		broken bool
+		runs   int
+	}{
+		"served":                            {"/safe/x", []platformtest.Behaviour{platformtest.Serve}, 200, "done id", true, false, 1},
+		"failure passes with its seal":      {"/once/x", []platformtest.Behaviour{platformtest.Fail}, 500, "failed id", true, false, 1},
+		"idempotent failure is repeated":    {"/safe/x", []platformtest.Behaviour{platformtest.Fail, platformtest.Serve}, 200, "done id", true, false, 2},
+		"no more than its attempts":         {"/safe/x", []platformtest.Behaviour{platformtest.Fail, platformtest.Fail, platformtest.Serve}, 500, "failed id", true, false, 2},
+		"shed goes to another":              {"/once/x", []platformtest.Behaviour{platformtest.Shed, platformtest.Serve}, 200, "done id", true, false, 1},
+		"shed by all is a refusal":          {"/once/x", []platformtest.Behaviour{platformtest.Shed, platformtest.Shed}, 503, "", false, false, 0},
+		"busy without a word is no refusal": {"/once/x", []platformtest.Behaviour{platformtest.FailBusy}, 502, "", false, false, 1},
+		"reset runs once at most":           {"/once/x", []platformtest.Behaviour{platformtest.ResetAfter}, 502, "", false, false, 1},
+		"reset before may have run":         {"/once/x", []platformtest.Behaviour{platformtest.ResetBefore}, 502, "", false, false, 0},
+		"idempotent reset is repeated":      {"/safe/x", []platformtest.Behaviour{platformtest.ResetAfter, platformtest.Serve}, 200, "done id", true, false, 2},
+		"run and then shed is no refusal":   {"/safe/x", []platformtest.Behaviour{platformtest.ResetAfter, platformtest.Shed}, 502, "", false, false, 1},
+		"garbage":                           {"/once/x", []platformtest.Behaviour{platformtest.Garbage}, 502, "", false, false, 1},
+		"short body":                        {"/once/x", []platformtest.Behaviour{platformtest.Cut}, 502, "", false, false, 1},
+		"short body is repeated":            {"/safe/x", []platformtest.Behaviour{platformtest.Cut, platformtest.Serve}, 200, "done id", true, false, 2},
+		"stray answer is passed over":       {"/once/x", []platformtest.Behaviour{platformtest.Stray}, 200, "done id", true, false, 1},
+		"without length":                    {"/once/x", []platformtest.Behaviour{platformtest.Unframed}, 200, "done id", true, false, 1},
+		"mute until the timeout":            {"/short/x", []platformtest.Behaviour{platformtest.Mute}, 504, "", false, false, 1},
+		"whole stream":                      {"/stream/x", []platformtest.Behaviour{platformtest.Serve}, 200, platformtest.Stream(), true, false, 1},
+		"cut stream goes on":                {"/stream/x", []platformtest.Behaviour{platformtest.Cut, platformtest.Serve}, 200, platformtest.Stream(), true, false, 2},
+		"cut stream without resumption":     {"/broken/x", []platformtest.Behaviour{platformtest.Cut}, 200, platformtest.Event(1) + platformtest.Event(2), true, true, 1},
+		"stream cut twice":                  {"/stream/x", []platformtest.Behaviour{platformtest.Cut, platformtest.Cut}, 200, "", true, true, 2},
+		"head only is our own failure":      {"/broken/x", []platformtest.Behaviour{platformtest.HeadOnly}, 502, "", false, false, 1},
+		"head only goes on elsewhere":       {"/stream/x", []platformtest.Behaviour{platformtest.HeadOnly, platformtest.Serve}, 200, platformtest.Stream(), true, false, 2},
+		"stray before a stream":             {"/broken/x", []platformtest.Behaviour{platformtest.Stray}, 200, platformtest.Stream(), true, false, 1},
+		"unknown route":                     {"/nowhere/x", nil, 404, "", false, false, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newStation(t)
+			order := &sequence{next: tt.does}
+			targets := append(s.add(plain, "p1", "p2"), s.add(engines, "e1", "e2")...)
+			s.ready(len(targets))
+			order.give(targets)
+			w := s.post(tt.path, "id", "work")
+			if tt.broken {
+				require.Error(t, w.err)
+			} else {
+				require.NoError(t, w.err)
+			}
+			require.Equal(t, tt.status, w.status)
+			if tt.body != "" {
+				require.Equal(t, tt.body, w.body)
+			}
+			require.Equal(t, tt.sealed, w.header.Get(seal) != "")
+			require.Equal(t, tt.runs, runsOf("id", targets))
+			if tt.status == http.StatusServiceUnavailable {
+				require.NotEmpty(t, w.header.Get("Retry-After"))
+			}
+		})
+	}
+}
+
+// sequence gives all targets one common list of what to do next.
+type sequence struct{ next []platformtest.Behaviour }
+
+func (q *sequence) give(targets []*platformtest.Target) {
+	script := platformtest.NewScript(q.next...)
+	for _, t := range targets {
+		t.Follow(script)
+	}
+}
+
+func TestHeadersForTargets(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1")
+	s.ready(1)
+	const uri = "/safe//a/../b?x=%2f&y"
+	var head strings.Builder
+	own := []string{"X-Tenant", "X-Expect-Instance", "X-Kv-Retention", "X-Pin-Ms", "X-Kv-Replica", "Kv-From", "X-Request-Priority"}
+	for _, h := range own {
+		head.WriteString(h + ": caller\r\n")
+	}
+	answer := s.raw("GET " + uri + " HTTP/1.1\r\nHost: " + platformtest.Host + ":80\r\nX-Attempt-Id: id\r\n" + head.String() +
+		"Authorization: Bearer " + testKey + "\r\nX-Named: caller\r\nX-Other: kept\r\nConnection: close, X-Named\r\n\r\n")
+	require.Contains(t, answer, "200 OK")
+	run := targets[0].Runs()[0]
+	require.Equal(t, uri, run.URI)
+	require.Equal(t, "acme", run.Header.Get("X-Tenant"))
+	require.Equal(t, "p1", run.Header.Get("X-Expect-Instance"))
+	require.Equal(t, "kept", run.Header.Get("X-Other"))
+	for _, h := range append(own[2:], "Authorization", "X-Named", "Connection") {
+		require.Empty(t, run.Header.Get(h), h)
+	}
+}
+
+func TestKeys(t *testing.T) {
+	tests := map[string]struct {
+		path, key string
+		status    int
+	}{
+		"known":                {"/safe/x", testKey, 200},
+		"unknown":              {"/safe/x", "other", 401},
+		"none":                 {"/safe/x", "", 401},
+		"none on a public one": {"/open/x", "", 200},
+	}
+	s := newStation(t)
+	s.add(plain, "p1")
+	s.ready(1)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := s.ask(http.MethodGet, tt.path, name, nil, func(r *http.Request) {
+				r.Header.Del("Authorization")
+				if tt.key != "" {
+					r.Header.Set("Authorization", "Bearer "+tt.key)
+				}
+			})
+			require.Equal(t, tt.status, w.status)
+		})
+	}
+}
+
+func TestBodyLimit(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1")
+	s.ready(1)
+	require.Equal(t, 413, s.post("/once/x", "a", strings.Repeat("x", 65537)).status)
+	require.Equal(t, 200, s.post("/once/x", "b", strings.Repeat("x", 65536)).status)
+	require.Len(t, targets[0].Runs()[0].Body, 65536)
+}
+
+// TestEarlyAnswer: a target that answers before it has read a long body never
+// gets another request where the rest of that body is due.
+func TestEarlyAnswer(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1")
+	s.ready(1)
+	targets[0].Then(platformtest.Early)
+	w := s.post("/once/x", "a", strings.Repeat("x", 60000))
+	require.Equal(t, 200, w.status)
+	for i := range 5 {
+		require.Equal(t, 200, s.post("/once/x", name("b", i), "y").status)
+	}
+}
+
+// TestConnectionsAreKept: requests one after the other use one connection, and
+// one that the target has closed meanwhile is not used.
+func TestConnectionsAreKept(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1")
+	s.ready(1)
+	for i := range 10 {
+		require.Equal(t, 200, s.post("/once/x", name("a", i), "y").status)
+	}
+	require.Equal(t, 1, targets[0].Conns())
+	targets[0].CloseConns()
+	require.Eventually(t, func() bool { return targets[0].Open() == 0 }, soon, tick)
+	require.Equal(t, 200, s.post("/once/x", "b", "y").status)
+	require.Equal(t, 2, targets[0].Conns())
+}
+
+// TestExtraAnswer: a second answer on a connection reaches nobody.
+func TestExtraAnswer(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1")
+	s.ready(1)
+	for i := range 10 {
+		targets[0].Then(platformtest.Extra)
+		w := s.post("/once/x", name("a", i), "y")
+		require.Equal(t, "done "+name("a", i), w.body)
+	}
+}
+
+// TestCallerLeaves: the target's work is cancelled when the caller is gone.
+func TestCallerLeaves(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1")
+	s.ready(1)
+	targets[0].Then(platformtest.Mute)
+	client := &http.Client{Timeout: 50 * time.Millisecond}
+	r, err := http.NewRequest(http.MethodGet, s.entry.URL+"/safe/x", nil)
+	require.NoError(t, err)
+	r.Host = platformtest.Host
+	r.Header.Set("X-Attempt-Id", "id")
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	_, err = client.Do(r)
+	require.Error(t, err)
+	require.Eventually(t, func() bool { return targets[0].Open() == 0 }, 500*time.Millisecond, tick)
+	require.Equal(t, 1, runsOf("id", targets), "nothing is sent again for a caller that is gone")
+}
+
+func TestNoRoutingTableYet(t *testing.T) {
+	store := platformtest.NewStore()
+	s := newStationAt(t, store, "r1")
+	w := s.post("/once/x", "id", "y")
+	require.Equal(t, 503, w.status)
+	require.NotEmpty(t, w.header.Get("Retry-After"))
+	require.False(t, s.g.Ready())
+}
+
+func TestChunkedBodyEndsTheConnection(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1")
+	s.ready(1)
+	raw := "POST /once/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nX-Attempt-Id: outer\r\nAuthorization: Bearer " + testKey +
+		"\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+		"POST /once/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nX-Attempt-Id: inner\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 0\r\n\r\n"
+	answer := s.raw(raw)
+	require.Contains(t, answer, "Connection: close")
+	require.Zero(t, runsOf("inner", targets))
+}
+
+func TestStopping(t *testing.T) {
+	s := newStation(t)
+	s.add(plain, "p1")
+	s.ready(1)
+	require.True(t, s.g.Ready())
+	s.g.Stop()
+	require.False(t, s.g.Ready())
+	w := s.post("/once/x", "id", "y")
+	require.Equal(t, 200, w.status, "what still comes is served")
+}
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -14,6 +13,7 @@
 
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
+	"vanillalug.example/schedule"
 )
 
 const (
@@ -21,6 +21,8 @@
 	shareInterval = 200 * time.Millisecond
 	// quietShares is how many intervals pass between datagrams without work.
 	quietShares = 5
+	// newsShares is how often each peer is told of news, as datagrams are lost.
+	newsShares = 3
 	// peersPerInterval is how many peers are told in one interval; with more
 	// of them each is told less often.
 	peersPerInterval = 24
@@ -31,21 +33,25 @@
 
 // peers are the other routers, as they announced themselves or were heard.
 type peers struct {
-	conn *net.UDPConn
+	conn  *net.UDPConn
+	clock schedule.Clock
 
-	mu        sync.Mutex
-	addresses map[string]netip.AddrPort
-	seeds     []netip.AddrPort
-	turn      int
-	quiet     int
-	ahead     map[string]ahead
-	placed    []placed
+	mu     sync.Mutex
+	known  map[string]*router
+	seeds  []netip.AddrPort
+	turn   int
+	quiet  int
+	told   knowledge
+	news   int
+	ahead  map[string]ahead
+	placed []placed
 }
 
-// placed is a placement that peers are still told of.
-type placed struct {
-	at        time.Time
-	placement fitting.Placement
+// router is another router.
+type router struct {
+	address netip.AddrPort
+	// heard is when it was heard last, or became known.
+	heard time.Time
 }
 
 // ahead is what a peer said that it knows.
@@ -56,33 +62,61 @@
 	digest   uint64
 }
 
-func newPeers() *peers {
-	return &peers{addresses: map[string]netip.AddrPort{}, ahead: map[string]ahead{}}
+// placed is a placement that peers are still told of.
+type placed struct {
+	at        time.Time
+	placement fitting.Placement
 }
 
-// learn takes in the addresses that routers announced.
-func (p *peers) learn(found map[string]netip.AddrPort) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.addresses = found
+func newPeers(clock schedule.Clock) *peers {
+	return &peers{clock: clock, known: map[string]*router{}, ahead: map[string]ahead{}}
 }
 
-// add takes in addresses beside those that are known.
+// add takes in addresses of routers.
 func (p *peers) add(found map[string]netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for name, a := range found {
-		if _, known := p.addresses[name]; !known {
-			p.addresses[name] = a
+		r, known := p.known[name]
+		if !known {
+			p.known[name] = &router{address: a, heard: p.clock.Now()}
+			continue
 		}
+		r.address = a
+	}
+}
+
+// heard takes in what a peer knows and where it is.
+func (p *peers) heard(name string, a ahead) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.known[name] = &router{address: a.from, heard: p.clock.Now()}
+	p.ahead[name] = a
+}
+
+// lost reports whether a known router was not heard for the time, and forgets
+// it then.
+func (p *peers) lost(name string, after time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, known := p.known[name]
+	if !known || p.clock.Now().Sub(r.heard) < after {
+		return false
 	}
+	delete(p.known, name)
+	delete(p.ahead, name)
+	return true
 }
 
 // all returns the known routers.
 func (p *peers) all() map[string]netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return maps.Clone(p.addresses)
+	out := make(map[string]netip.AddrPort, len(p.known))
+	for name, r := range p.known {
+		out[name] = r.address
+	}
+	return out
 }
 
 // setSeeds sets the addresses that are asked while nothing is known.
@@ -98,42 +132,41 @@
 	return p.seeds
 }
 
-// heard takes in what a peer knows and where it is.
-func (p *peers) heard(name string, a ahead) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.addresses[name] = a.from
-	p.ahead[name] = a
-}
-
 // next returns the peers that are told in this interval.
 func (p *peers) next() []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	groups := (len(p.addresses) + peersPerInterval - 1) / peersPerInterval
-	if groups == 0 {
-		return nil
-	}
+	groups := p.groups()
 	p.turn = (p.turn + 1) % groups
 	out := make([]netip.AddrPort, 0, peersPerInterval)
-	for name, a := range p.addresses {
+	for name, r := range p.known {
 		if int(hashOf(name)%uint64(groups)) == p.turn {
-			out = append(out, a)
+			out = append(out, r.address)
 		}
 	}
 	return out
 }
 
-// speak reports whether it is time for a datagram; without work most
+// groups is in how many parts the peers are told in turn.
+func (p *peers) groups() int {
+	return max((len(p.known)+peersPerInterval-1)/peersPerInterval, 1)
+}
+
+// speak reports whether it is time for a datagram; without work and news most
 // intervals pass in silence.
-func (p *peers) speak(busy bool) bool {
+func (p *peers) speak(busy bool, k knowledge) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if k != p.told {
+		p.told = k
+		p.news = newsShares * p.groups()
+	}
 	p.quiet++
-	if !busy && p.quiet < quietShares {
+	if !busy && p.news == 0 && p.quiet < quietShares {
 		return false
 	}
 	p.quiet = 0
+	p.news = max(p.news-1, 0)
 	return true
 }
 
@@ -151,8 +184,7 @@
 func (p *peers) recent(now time.Time) []fitting.Placement {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	groups := max((len(p.addresses)+peersPerInterval-1)/peersPerInterval, 1)
-	since := now.Add(-time.Duration(2*groups) * shareInterval)
+	since := now.Add(-time.Duration(2*p.groups()) * shareInterval)
 	first := 0
 	for first < len(p.placed) && p.placed[first].at.Before(since) {
 		first++
@@ -184,7 +216,7 @@
 // shareLoads tells peers this router's own work and what it knows.
 func (g *Gateway) shareLoads(now time.Time) {
 	own := g.board.Own()
-	if !g.peers.speak(len(own) > 0) {
+	if !g.peers.speak(len(own) > 0, g.known()) {
 		return
 	}
 	message, err := proto.Marshal(g.share(own, now))
