Turn away what would wait in vain, and say when to come back

The load pattern: more requests than the targets can begin in time (a burst while half of them are lost). A request is refused at once when the wait that follows from the queue and the usual time of a request is longer than its caller's patience, which is shorter for less urgent work. Returns are spread. Replaces a fixed multiple of a plain target's slots.

--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -40,6 +40,7 @@
 			return true
 		}
 	} else {
+		t.served = true
 		p.succeeded()
 	}
 	if t.answering {
--- a/cmd/router/gateway/entry.go
+++ b/cmd/router/gateway/entry.go
@@ -48,6 +48,7 @@
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
 	}
 	t.route = route
+	t.priority = route.Priority()
 	if t.plan.Keyed() && !route.Public() {
 		workspace, ok := t.plan.WorkspaceByKey(t.req.Key())
 		if !ok {
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -46,6 +46,7 @@
 	store  *platform.Store
 	board  *fitting.Board
 	memory *fitting.Memory
+	pace   *fitting.Pace
 	budget *allowance.Window
 	peers  *peers
 	// peerClient sends calls to other routers.
@@ -80,6 +81,7 @@
 		wake:   make(chan struct{}, 1),
 		board:  fitting.NewBoard(),
 		memory: fitting.NewMemory(),
+		pace:   fitting.NewPace(),
 		budget: allowance.NewWindow(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
 		book:   crew.NewBook(),
 	}
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -19,6 +19,7 @@
 	t.finish(o, err)
 	if err == nil {
 		t.begin(o)
+		t.served = true
 		p.succeeded()
 		t.logEnd(o.answer.Status(), "answered", nil)
 		return false
--- a/cmd/router/gateway/trip.go
+++ b/cmd/router/gateway/trip.go
@@ -46,6 +46,8 @@
 	lastEvent string
 	// answering says that the head of a target's answer was sent on.
 	answering bool
+	// served says that a target served the request to its end.
+	served bool
 	// target, choice and detail say in the logs where the request went last
 	// and why.
 	target string
@@ -91,7 +93,10 @@
 			Target: p.target, Load: loads[i], Held: held[i], Suspect: p.suspect(now), Tried: t.tried[p.key],
 		}
 	}
-	q := fitting.Question{Work: t.req.Work(), Place: t.g.cfg.Place, Random: t.g.seed.Add(1)}
+	q := fitting.Question{
+		Work: t.req.Work(), Place: t.g.cfg.Place, Pace: t.g.pace.Of(t.service), Left: t.deadline.Sub(now),
+		Priority: t.priority, Random: t.g.seed.Add(1),
+	}
 	if s, ok := t.plan.Service(t.service); ok && s.Engine() != nil {
 		q.Slots = s.Engine().Slots()
 	}
@@ -100,29 +105,39 @@
 		t.choice = describe(candidates, v.Index)
 		return posts[v.Index], nil
 	case fitting.Full:
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: fullRetry}
+		t.detail = fmt.Sprintf("pace=%s left=%s total=%d of=%d", q.Pace, q.Left, total(candidates), len(candidates))
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: v.Return}
 	}
 	return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: fullRetry}
 }
 
 // describe says in the logs what was known at a choice.
 func describe(candidates []fitting.Candidate, chosen int) string {
-	suspects, total := 0, 0
+	suspects := 0
 	for _, c := range candidates {
-		total += c.Load.Requests()
 		if c.Suspect {
 			suspects++
 		}
 	}
 	c := candidates[chosen]
 	return fmt.Sprintf("held=%t load=%d unread=%d of=%d total=%d suspects=%d",
-		c.Held, c.Load.Requests(), c.Load.Unread(), len(candidates), total, suspects)
+		c.Held, c.Load.Requests(), c.Load.Unread(), len(candidates), total(candidates), suspects)
+}
+
+// total is the number of requests at all candidates.
+func total(candidates []fitting.Candidate) int {
+	n := 0
+	for _, c := range candidates {
+		n += c.Load.Requests()
+	}
+	return n
 }
 
 // attempt sends the request to a target; it returns true where another target
 // may be tried.
 func (t *trip) attempt(ctx context.Context, p *post) bool {
 	t.tried[p.key] = true
+	sent := t.g.clock.Now()
 	t.target = p.target.Lifetime()
 	unread := t.req.Work().Prompt()
 	t.g.board.Add(p.key, 1, unread)
@@ -137,6 +152,9 @@
 	defer func() {
 		first()
 		t.g.board.Add(p.key, -1, 0)
+		if t.served {
+			t.g.pace.Done(t.service, t.g.clock.Now().Sub(sent))
+		}
 	}()
 	switch o := t.exchange(ctx, p).(type) {
 	case neverSent:
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"vanillalug.example/crew"
 )
@@ -22,8 +23,12 @@
 	readWeight = 10
 	// requestCost is what a request slows the others beside it, in milliseconds.
 	requestCost = 5
-	// queueFactor is the multiple of a plain target's slots that it may be sent.
-	queueFactor = 4
+	// maxQueue is the multiple of its slots that may wait at a target; more of
+	// them are shed by the target itself.
+	maxQueue = 3
+	// minReturn and maxReturn bound when a refused caller may come back.
+	minReturn = 200 * time.Millisecond
+	maxReturn = 3 * time.Second
 )
 
 // Candidate is a target with its load.
@@ -44,6 +49,12 @@
 	Place string
 	// Slots is the batch of a model engine; 0 for plain services.
 	Slots int
+	// Pace is how long a request usually stays at a target; 0 is not known.
+	Pace time.Duration
+	// Left is how long the caller still waits.
+	Left time.Duration
+	// Priority is the rank of the request; 0 is the most urgent.
+	Priority int
 	// Random breaks ties.
 	Random uint64
 }
@@ -54,8 +65,9 @@
 // Chosen names the candidate by its index.
 type Chosen struct{ Index int }
 
-// Full says that every target has all the work that it can finish in time.
-type Full struct{}
+// Full says that no target can begin the request while its caller waits, and
+// when it is worth to come back.
+type Full struct{ Return time.Duration }
 
 // NoTarget says that no target is left to be asked.
 type NoTarget struct{}
@@ -83,12 +95,48 @@
 	if len(left) == 0 {
 		return NoTarget{}
 	}
+	if full, ok := turnAway(q, all, left); ok {
+		return full
+	}
 	if key, ok := q.Work.Key(); ok && q.Slots > 0 {
 		return chooseCached(q, key, all, left)
 	}
 	return chooseIdle(q, all, left)
 }
 
+// turnAway answers more load than the targets can serve in time, such as a
+// burst while half of them are lost: a request that would wait in vain is
+// refused at once, the less urgent ones first, so that the others are served.
+func turnAway(q Question, all []Candidate, left []int) (Full, bool) {
+	least := slices.MinFunc(left, func(a, b int) int { return cmp.Compare(waiting(q, all[a]), waiting(q, all[b])) })
+	queued, slots := waiting(q, all[least]), q.slotsOf(all[least])
+	if queued <= 0 || slots == 0 {
+		return Full{}, false
+	}
+	wait := q.Pace * time.Duration(queued) / time.Duration(slots)
+	patience := q.Left / time.Duration(1+max(q.Priority, 0))
+	if wait <= patience && queued <= maxQueue*slots {
+		return Full{}, false
+	}
+	return Full{Return: spread(min(max(wait/2, minReturn), maxReturn), q.Random)}, true
+}
+
+// waiting is how many requests would wait for a slot, this one included.
+func waiting(q Question, c Candidate) int { return c.Load.requests + 1 - q.slotsOf(c) }
+
+func (q Question) slotsOf(c Candidate) int {
+	if q.Slots > 0 {
+		return q.Slots
+	}
+	return c.Target.Slots()
+}
+
+// spread moves a time by up to a quarter either way, so that callers who were
+// refused together do not return together.
+func spread(d time.Duration, random uint64) time.Duration {
+	return d*3/4 + time.Duration(mix(random)%uint64(d/2))
+}
+
 // chooseCached picks the engine that costs least: what waits there already,
 // and the shared prompt where it must be read.
 func chooseCached(q Question, key uint64, all []Candidate, left []int) Verdict {
@@ -100,7 +148,9 @@
 	bound := min(int(math.Ceil(boundFactor*mean))+boundExtra, q.Slots)
 	within := slices.DeleteFunc(slices.Clone(left), func(i int) bool { return all[i].Load.requests >= bound })
 	if len(within) == 0 {
-		within = left
+		return Chosen{Index: slices.MinFunc(left, func(a, b int) int {
+			return cmp.Compare(all[a].Load.requests, all[b].Load.requests)
+		})}
 	}
 	home := homeOf(key, all, left)
 	best := slices.MinFunc(within, func(a, b int) int {
@@ -141,10 +191,6 @@
 			cmp.Compare(distance(q.Place, all[a]), distance(q.Place, all[b])),
 			cmp.Compare(mix(q.Random^score(0, all[a].Target)), mix(q.Random^score(0, all[b].Target))))
 	})
-	slots := all[best].Target.Slots()
-	if q.Slots == 0 && slots > 0 && all[best].Load.requests >= queueFactor*slots {
-		return Full{}
-	}
 	return Chosen{Index: best}
 }
 
--- /dev/null
+++ b/fitting/fitting_test.go
@@ -0,0 +1,223 @@
+package fitting
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"vanillalug.example/crew"
+	"vanillalug.example/lugtest"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func engine(id string, requests, unread int) Candidate {
+	return Candidate{
+		Target: crew.NewTarget(id, "s", "10.0.0.1:1", crew.WithSlots(64)),
+		Load:   NewLoad(requests, unread),
+	}
+}
+
+func held(c Candidate) Candidate {
+	c.Held = true
+	return c
+}
+
+func tried(c Candidate) Candidate {
+	c.Tried = true
+	return c
+}
+
+func suspect(c Candidate) Candidate {
+	c.Suspect = true
+	return c
+}
+
+var long = NewWork("m", []Part{NewPart(1, 512), NewPart(2, 10000), NewPart(3, 1300)}, 11812, 400)
+
+func TestChooseEngine(t *testing.T) {
+	tests := map[string]struct {
+		candidates []Candidate
+		want       int
+	}{
+		"the holder although it has more":     {[]Candidate{engine("a", 4, 0), held(engine("b", 8, 0)), engine("c", 5, 0)}, 1},
+		"the lesser of two holders":           {[]Candidate{held(engine("a", 9, 0)), held(engine("b", 8, 0)), engine("c", 5, 0)}, 1},
+		"a holder with less left to read":     {[]Candidate{held(engine("a", 4, 9000)), held(engine("b", 8, 0)), engine("c", 5, 0)}, 1},
+		"not the holder over the bound":       {[]Candidate{engine("a", 2, 0), held(engine("b", 30, 0)), engine("c", 3, 0)}, 0},
+		"not a holder that was tried":         {[]Candidate{engine("a", 5, 0), tried(held(engine("b", 0, 0))), engine("c", 3, 0)}, 2},
+		"not a holder that failed":            {[]Candidate{engine("a", 5, 0), suspect(held(engine("b", 0, 0))), engine("c", 3, 0)}, 2},
+		"a suspect where nothing else is":     {[]Candidate{tried(engine("a", 5, 0)), suspect(engine("b", 0, 0))}, 1},
+		"the least of all where all are full": {[]Candidate{held(engine("a", 70, 0)), engine("b", 66, 0), engine("c", 64, 0)}, 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := Choose(Question{Work: long, Slots: 64}, tt.candidates)
+			chosen, ok := v.(Chosen)
+			require.True(t, ok, "%T", v)
+			if name == "not a holder that was tried" || name == "not a holder that failed" {
+				require.NotEqual(t, 1, chosen.Index)
+				return
+			}
+			require.Equal(t, tt.want, chosen.Index)
+		})
+	}
+	require.IsType(t, NoTarget{}, Choose(Question{Work: long, Slots: 64}, []Candidate{tried(engine("a", 0, 0))}))
+	require.IsType(t, NoTarget{}, Choose(Question{Work: long, Slots: 64}, nil))
+}
+
+// TestRoutersWithoutMemoryMeet: routers that remember nothing send the same
+// prompt to the same engine, and different prompts to different ones.
+func TestRoutersWithoutMemoryMeet(t *testing.T) {
+	candidates := []Candidate{engine("a", 3, 0), engine("b", 4, 0), engine("c", 2, 0), engine("d", 3, 0)}
+	used := map[int]bool{}
+	for prompt := range uint64(40) {
+		w := NewWork("m", []Part{NewPart(prompt, 10000), NewPart(99, 100)}, 10100, 10)
+		first := Choose(Question{Work: w, Slots: 64, Random: 1}, candidates)
+		require.Equal(t, first, Choose(Question{Work: w, Slots: 64, Random: 2}, candidates))
+		used[first.(Chosen).Index] = true
+	}
+	require.Len(t, used, 4)
+}
+
+func TestChoosePlain(t *testing.T) {
+	worker := func(id, place string, requests int) Candidate {
+		return Candidate{
+			Target: crew.NewTarget(id, "s", "10.0.0.1:1", crew.WithSlots(6), crew.WithPlace(place)),
+			Load:   NewLoad(requests, 0),
+		}
+	}
+	tests := map[string]struct {
+		candidates []Candidate
+		want       Verdict
+	}{
+		"the nearest of those with room": {[]Candidate{worker("a", "x", 1), worker("b", "here", 2)}, Chosen{Index: 1}},
+		"the least where none has":       {[]Candidate{worker("a", "here", 6), worker("b", "x", 4)}, Chosen{Index: 1}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, tt.want, Choose(Question{Place: "here"}, tt.candidates))
+		})
+	}
+}
+
+// TestTurnAway: what can't begin in time is refused at once and told when to
+// come back; urgent work is let in for longer.
+func TestTurnAway(t *testing.T) {
+	const pace = 100 * time.Millisecond
+	worker := func(requests int) Candidate {
+		return Candidate{Target: crew.NewTarget("a", "s", "10.0.0.1:1", crew.WithSlots(10)), Load: NewLoad(requests, 0)}
+	}
+	tests := map[string]struct {
+		requests, priority int
+		pace, left         time.Duration
+		full               bool
+	}{
+		"room":                          {9, 2, pace, time.Second, false},
+		"a short wait":                  {15, 2, pace, time.Second, false},
+		"would wait in vain":            {25, 0, pace, 100 * time.Millisecond, true},
+		"urgent work may wait":          {25, 0, pace, 200 * time.Millisecond, false},
+		"less urgent work may not":      {25, 1, pace, 200 * time.Millisecond, true},
+		"pace not known":                {25, 2, 0, time.Millisecond, false},
+		"more than a target's queue":    {45, 0, time.Microsecond, time.Second, true},
+		"no time left but a free place": {9, 0, pace, 0, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			v := Choose(Question{Pace: tt.pace, Left: tt.left, Priority: tt.priority, Random: 5}, []Candidate{worker(tt.requests), worker(tt.requests + 1)})
+			full, ok := v.(Full)
+			require.Equal(t, tt.full, ok, "%T", v)
+			if ok {
+				require.GreaterOrEqual(t, full.Return, minReturn*3/4)
+				require.LessOrEqual(t, full.Return, maxReturn*5/4)
+			}
+		})
+	}
+}
+
+// TestReturnsAreSpread: callers that are refused together come back over half
+// of the time that they were told.
+func TestReturnsAreSpread(t *testing.T) {
+	first, last := time.Hour, time.Duration(0)
+	for i := range uint64(1000) {
+		d := spread(time.Second, i)
+		first, last = min(first, d), max(last, d)
+	}
+	require.InDelta(t, 0.75, first.Seconds(), 0.01)
+	require.InDelta(t, 1.25, last.Seconds(), 0.01)
+}
+
+// TestChooseKeepsTheBound: no engine is chosen beyond the bound while another
+// is within it, whatever is held where.
+func TestChooseKeepsTheBound(t *testing.T) {
+	lugtest.Check(t, "500", "1", func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "n")
+		var all []Candidate
+		total := 0
+		for i := range n {
+			c := engine(string(rune('a'+i)), rapid.IntRange(0, 40).Draw(t, "requests"), rapid.IntRange(0, 40000).Draw(t, "unread"))
+			c.Held = rapid.Bool().Draw(t, "held")
+			total += c.Load.requests
+			all = append(all, c)
+		}
+		v := Choose(Question{Work: long, Slots: 64}, all).(Chosen)
+		mean := float64(total) / float64(n)
+		require.LessOrEqual(t, float64(all[v.Index].Load.requests), 2*mean+3, "the users' own limit")
+	})
+}
+
+func TestWorkKey(t *testing.T) {
+	key := func(model string, ids ...uint64) uint64 {
+		var parts []Part
+		for _, id := range ids {
+			parts = append(parts, NewPart(id, 10))
+		}
+		k, _ := NewWork(model, parts, 0, 0).Key()
+		return k
+	}
+	require.Equal(t, key("m", 1, 2, 3), key("m", 1, 2, 4), "the last part is the request's own")
+	require.NotEqual(t, key("m", 1, 2, 3), key("n", 1, 2, 3))
+	require.NotEqual(t, key("m", 1, 2, 3), key("m", 2, 1, 3))
+	require.NotEqual(t, key("m", 1, 2, 3), key("m", 1, 5, 3))
+	_, ok := NewWork("m", []Part{NewPart(1, 1)}, 0, 0).Key()
+	require.False(t, ok)
+	require.Equal(t, 10000, long.Reusable())
+}
+
+func TestBoard(t *testing.T) {
+	b := NewBoard()
+	a, c := KeyOf("a"), KeyOf("c")
+	b.Add(a, 1, 100)
+	b.Add(a, 1, 50)
+	b.Add(a, 0, -100)
+	b.Hear("r2", map[Key]Load{a: NewLoad(3, 7), c: NewLoad(1, 0)}, start)
+	require.Equal(t, []Load{NewLoad(5, 57), NewLoad(1, 0)}, b.Loads([]Key{a, c}, start))
+	b.Hear("r2", map[Key]Load{c: NewLoad(2, 0)}, start)
+	require.Equal(t, []Load{NewLoad(2, 50), NewLoad(2, 0)}, b.Loads([]Key{a, c}, start), "the newest word of a peer counts alone")
+	require.Equal(t, 1, b.Peers(start))
+	later := start.Add(PeerTime + time.Millisecond)
+	require.Equal(t, []Load{NewLoad(2, 50), {}}, b.Loads([]Key{a, c}, later), "a peer that fell silent has no work")
+	require.Zero(t, b.Peers(later))
+	b.Add(a, -2, -50)
+	require.Empty(t, b.Own())
+}
+
+func TestMemory(t *testing.T) {
+	m := NewMemory()
+	a, c := KeyOf("a"), KeyOf("c")
+	m.Note(Placement{Prompt: 16, Target: a}, start)
+	require.Equal(t, []bool{true, false}, m.Held(16, []Key{a, c}, start))
+	require.Equal(t, []bool{false, false}, m.Held(32, []Key{a, c}, start))
+	require.Equal(t, []bool{false, false}, m.Held(16, []Key{a, c}, start.Add(holderTime+1)))
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	m := NewMemory()
+	for i := range uint64(shardPrompts + 10) {
+		m.Note(Placement{Prompt: i * memoryShards, Target: 1}, start.Add(time.Duration(i)))
+	}
+	require.Len(t, m.shards[0].holders, shardPrompts)
+	require.Equal(t, []bool{false}, m.Held(0, []Key{1}, start), "the oldest went first")
+	require.Equal(t, []bool{true}, m.Held((shardPrompts+9)*memoryShards, []Key{1}, start))
+}
