--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -23,8 +23,8 @@
 const (
 	// entryHeaderTimeout is how long a caller may take for a header.
 	entryHeaderTimeout = 5 * time.Second
-	// entryIdleTimeout is longer than callers leave a connection idle.
-	entryIdleTimeout = time.Minute
+	// entryIdleTimeout holds until the routing table says a time.
+	entryIdleTimeout = 10 * time.Minute
 	entryMaxHeader   = 64 << 10
 	entryMaxConns    = 2000
 	storeConnect     = 500 * time.Millisecond
@@ -91,7 +91,7 @@
 func listenDeployment(cfg *settings.Deployment, g *gateway.Gateway) (*reception.Server, chan error, error) {
 	entry, err := reception.NewServer("entry", cfg.Entry(), reception.WithHandler(g),
 		reception.WithMaxHeaderBytes(entryMaxHeader), reception.WithMaxConns(entryMaxConns),
-		reception.WithTimeouts(entryHeaderTimeout, entryIdleTimeout))
+		reception.WithTimeouts(entryHeaderTimeout, entryIdleTimeout), reception.WithIdleLimit(g.IdleLimit))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/cmd/router/gateway/entry.go
+++ b/cmd/router/gateway/entry.go
@@ -43,6 +43,9 @@
 		return &refusal{status: http.StatusServiceUnavailable, reason: "no routing table yet", retryAfter: notReadyRetry}
 	}
 	t.plan = now.plan
+	if limit := t.plan.Limits().HeaderBytes(); limit > 0 && t.req.HeadBytes() > limit {
+		return &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "header too large"}
+	}
 	route, ok := t.plan.Match(t.req.Host(), t.req.Path())
 	if !ok {
 		return &refusal{status: http.StatusNotFound, reason: "no route"}
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -122,6 +122,15 @@
 	return !g.stopping.Load() && g.plan.Load() != nil && len(g.targets.Load().byLifetime) > 0
 }
 
+// IdleLimit returns how long a caller's connection may be idle; 0 is not known.
+func (g *Gateway) IdleLimit() time.Duration {
+	p := g.plan.Load()
+	if p == nil {
+		return 0
+	}
+	return p.plan.Limits().IdleTimeout()
+}
+
 // Open returns the number of requests in progress.
 func (g *Gateway) Open() int64 { return g.open.Load() }
 
--- a/cmd/router/gateway/gateway_test.go
+++ b/cmd/router/gateway/gateway_test.go
@@ -144,6 +144,18 @@
 	require.Len(t, targets[0].Runs()[0].Body, 65536)
 }
 
+func TestHeaderLimit(t *testing.T) {
+	s := newStation(t)
+	s.add(plain, "p1")
+	s.ready(1)
+	for n, status := range map[int]int{8 << 10: 200, 20 << 10: 431} {
+		w := s.ask(http.MethodGet, "/safe/x", name("h", n), nil, func(r *http.Request) {
+			r.Header.Set("X-Long", strings.Repeat("x", n))
+		})
+		require.Equal(t, status, w.status)
+	}
+}
+
 // TestEarlyAnswer: a target that answers before it has read a long body never
 // gets another request where the rest of that body is due.
 func TestEarlyAnswer(t *testing.T) {
--- a/reception/server.go
+++ b/reception/server.go
@@ -40,6 +40,7 @@
 	idleTimeout    time.Duration
 	maxConns       int
 	handler        http.Handler
+	idle           *idleGuard
 }
 
 // ServerOption changes a new Server.
@@ -61,6 +62,12 @@
 	return func(o *serverOptions) { o.headerTimeout, o.idleTimeout = header, idle }
 }
 
+// WithIdleLimit closes connections that are idle for longer than the limit,
+// which is asked for each time; 0 is none.
+func WithIdleLimit(limit func() time.Duration) ServerOption {
+	return func(o *serverOptions) { o.idle = newIdleGuard(limit) }
+}
+
 // WithHandler sends every request to the handler, whatever its host and path.
 func WithHandler(h http.Handler) ServerOption {
 	return func(o *serverOptions) { o.handler = h }
@@ -149,6 +156,9 @@
 }
 
 func (s *Server) count(c net.Conn, state http.ConnState) {
+	if s.opts.idle != nil {
+		s.opts.idle.watch(c, state)
+	}
 	switch state {
 	case http.StateNew:
 		if s.open.Add(1) > int64(s.opts.maxConns) {
