--- a/cmd/vanillalug/call.go
+++ b/cmd/vanillalug/call.go
@@ -9,8 +9,8 @@
 	"os"
 
 	"vanillalug.example"
-	"vanillalug.example/form"
 	"vanillalug.example/depot"
+	"vanillalug.example/form"
 	"vanillalug.example/reception"
 )
 
--- a/cmd/vanillalug/claims.go
+++ b/cmd/vanillalug/claims.go
@@ -7,8 +7,8 @@
 	"text/tabwriter"
 	"time"
 
-	"vanillalug.example/ledger"
 	"vanillalug.example/depot"
+	"vanillalug.example/ledger"
 )
 
 const usageClaims = `vanillalug claims -settings FILE [-workspace NAME] [-older 1m]
--- /dev/null
+++ b/cmd/vanillalug/log_line.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maxLogLine is the longest line that is read, in bytes.
+const maxLogLine = 1 << 20
+
+// The messages of a router's log that explain knows.
+const (
+	messageAttempt = "attempt"
+	messageRequest = "request"
+)
+
+// logLine is one line of a router's log.
+type logLine struct {
+	At      time.Time      `json:"at"`
+	Router  string         `json:"router"`
+	Message string         `json:"message"`
+	Fields  map[string]any `json:"fields"`
+}
+
+// readLog reads the JSON lines of a log; other lines are passed over.
+func readLog(in io.Reader) ([]logLine, error) {
+	s := bufio.NewScanner(in)
+	s.Buffer(nil, maxLogLine)
+	var out []logLine
+	for s.Scan() {
+		if l, ok := readLogLine(s.Bytes()); ok {
+			out = append(out, l)
+		}
+	}
+	return out, s.Err()
+}
+
+func readLogLine(raw []byte) (logLine, bool) {
+	begin := bytes.IndexByte(raw, '{')
+	if begin < 0 {
+		return logLine{}, false
+	}
+	l := logLine{}
+	if err := json.Unmarshal(raw[begin:], &l.Fields); err != nil {
+		return logLine{}, false
+	}
+	at, err := time.Parse(time.RFC3339, l.field("@timestamp"))
+	if err != nil {
+		return logLine{}, false
+	}
+	l.At = at
+	l.Router = l.field("router")
+	l.Message = l.field("@message")
+	for _, name := range []string{"@timestamp", "@message", "@module", "@level", "router"} {
+		delete(l.Fields, name)
+	}
+	return l, true
+}
+
+// field returns a field as text, or "".
+func (l logLine) field(name string) string {
+	v, ok := l.Fields[name]
+	if !ok || v == nil {
+		return ""
+	}
+	return fmt.Sprint(v)
+}
+
+// text returns the line for people; the id that all lines share is left out.
+func (l logLine) text(id string) string {
+	names := make([]string, 0, len(l.Fields))
+	for name, v := range l.Fields {
+		if v != nil && v != "" && fmt.Sprint(v) != id {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s", l.At.Format("15:04:05.000"), l.Router, l.Message)
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, l.Fields[name])
+	}
+	return b.String()
+}
+
+// about returns the lines on the request, and those of its routers on its
+// targets, the store and the routing table from the time before to its end.
+func about(id string, lines []logLine, before time.Duration) []logLine {
+	var first, last time.Time
+	routers, targets := map[string]bool{}, map[string]bool{}
+	for _, l := range lines {
+		if l.field("request") != id {
+			continue
+		}
+		if first.IsZero() || l.At.Before(first) {
+			first = l.At
+		}
+		if l.At.After(last) {
+			last = l.At
+		}
+		routers[l.Router] = true
+		targets[l.field("target")] = true
+	}
+	var out []logLine
+	for _, l := range lines {
+		own := l.field("request") == id
+		near := routers[l.Router] && !l.At.Before(first.Add(-before)) && !l.At.After(last)
+		if own || near && l.field("request") == "" && (l.field("target") == "" || targets[l.field("target")]) {
+			out = append(out, l)
+		}
+	}
+	if len(routers) == 0 {
+		return nil
+	}
+	slices.SortStableFunc(out, func(a, b logLine) int { return a.At.Compare(b.At) })
+	return out
+}
+
+// conclude says in a sentence how the request ended, from its last line.
+func conclude(id string, lines []logLine) string {
+	var end logLine
+	sends := 0
+	for _, l := range lines {
+		if l.field("request") != id {
+			continue
+		}
+		if l.Message == messageAttempt {
+			sends++
+		}
+		if l.Message == messageRequest {
+			end = l
+		}
+	}
+	if end.Message == "" {
+		return fmt.Sprintf("No line says how %s ended: it is still in progress, or its router ended.", id)
+	}
+	ran := "no target has run it"
+	if end.field("ran") == "true" {
+		ran = "a target may have run it"
+	}
+	return fmt.Sprintf("%s ended at %s with status %s (%s) after %s ms, %d sends failed before; %s. Version %s, last target %q. %s",
+		id, end.Router, end.field("status"), end.field("outcome"), end.field("ms"), sends, ran,
+		end.field("version"), end.field("target"), strings.TrimSpace(end.field("detail")+" "+end.field("error")))
+}
--- a/cmd/vanillalug/main.go
+++ b/cmd/vanillalug/main.go
@@ -24,6 +24,7 @@
     drain      take an engine, a target or a router out of service
     claims     list calls whose outcome is not recorded
     settle     settle such a call by hand
+    explain    show from logs what became of a request
     hash-key   print the digest of a workspace key
     version    print the build of this command
 
@@ -65,6 +66,7 @@
 		{"drain", usageDrain, runDrain},
 		{"claims", usageClaims, runClaims},
 		{"settle", usageSettle, runSettle},
+		{"explain", usageExplain, runExplain},
 		{"hash-key", usageHashKey, runHashKey},
 		{"version", usageVersion, runVersion},
 	}
