Let few routers follow the store and tell the others

Cause: calls to the store were the largest price on the grown site (113 routers, each with two feeds that every change wakes) and grew with routers x changes. Change: package rota decides who follows the store: 2 + log2 of the routers, and everyone who hears fewer than three that do. The others hear of news at once by datagram, ask a peer for it, and look at the store themselves every 5 to 15 s.

Doubts are now told as doubts, with the time they have left. Test: crew's tables, failing before.

--- a/cmd/router/gateway/beliefs.go
+++ b/cmd/router/gateway/beliefs.go
@@ -11,19 +11,19 @@
 func (g *Gateway) applyPlanRows(rows platform.Rows) {
 	for _, r := range rows.All() {
 		if platform.IsPlan(r) {
-			g.applyPlan(r.Value(), "store")
+			g.applyPlan(r.Value(), r.Revision(), "store")
 		}
 	}
 }
 
 // applyPlan puts a routing table in force unless an equal or newer one is.
-func (g *Gateway) applyPlan(raw []byte, source string) {
+func (g *Gateway) applyPlan(raw []byte, revision uint64, source string) {
 	p, err := platform.DecodePlan(raw)
 	if err != nil {
 		g.log.Error("routing table can't be read; the one in force stays", "source", source, "error", err)
 		return
 	}
-	next := &planned{plan: p, raw: raw}
+	next := &planned{plan: p, raw: raw, revision: revision}
 	for {
 		old := g.plan.Load()
 		if old != nil && old.plan.Version() >= p.Version() {
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -14,6 +14,8 @@
 	// behindDelay is how long the store may take to tell what a peer knows
 	// already.
 	behindDelay = 250 * time.Millisecond
+	// restingDelay spreads the questions of routers that rely on their peers.
+	restingDelay = 60 * time.Millisecond
 	// beliefsTimeout bounds a call to a peer.
 	beliefsTimeout = 600 * time.Millisecond
 	// seedDelay is the time between two questions to seeds; it is spread by half.
@@ -59,14 +61,20 @@
 			return
 		case <-g.wake:
 		}
-		sleep(ctx, behindDelay)
+		if g.onDuty() {
+			sleep(ctx, behindDelay)
+		} else {
+			sleep(ctx, rand.N(restingDelay))
+		}
 		a, ok := g.peers.mostAhead(g.known())
 		if !ok {
 			continue
 		}
-		g.watchers.plan.interrupt()
-		g.watchers.registry.interrupt()
 		g.askPeer(ctx, a.from)
+		if g.known().behind(a) {
+			g.watchers.plan.interrupt()
+			g.watchers.registry.interrupt()
+		}
 	}
 }
 
@@ -119,12 +127,12 @@
 	found[reply.From] = address
 	g.peers.add(found)
 	if len(reply.Plan) > 0 {
-		g.applyPlan(reply.Plan, "peer "+address.String())
+		g.applyPlan(reply.Plan, reply.PlanRevision, "peer "+address.String())
+		g.watchers.plan.advance(reply.PlanRevision)
 	}
 	if reply.RegistryRevision > k.revision {
-		g.handle(crew.Listed{
-			At: g.clock.Now(), Targets: believedTargets(reply.Targets), Revision: reply.RegistryRevision,
-		})
+		g.handle(listed(reply.Targets, reply.RegistryRevision, g.clock.Now()))
+		g.watchers.registry.advance(reply.RegistryRevision)
 	}
 }
 
@@ -138,6 +146,7 @@
 		out.PlanVersion = p.plan.Version()
 		if p.plan.Version() > r.PlanVersion {
 			out.Plan = p.raw
+			out.PlanRevision = p.revision
 		}
 	}
 	for name, a := range g.peers.all() {
@@ -149,15 +158,25 @@
 	if out.RegistryRevision <= r.RegistryRevision {
 		return out, nil
 	}
-	for _, t := range g.book.All() {
-		out.Targets = append(out.Targets, &peer.BelievedTarget{
-			Id: t.ID(), Born: t.Born(), Address: t.Address(), Place: t.Place(), Service: t.Service(),
-			Slots: uint32(max(t.Slots(), 0)), Leaving: t.State() == crew.Leaving,
-		})
+	for _, t := range g.book.Sure() {
+		out.Targets = append(out.Targets, believed(t))
+	}
+	for _, d := range g.book.Doubts(g.clock.Now()) {
+		t := believed(d.Target)
+		t.Doubted = true
+		t.LeftMs = uint32(d.Left.Milliseconds())
+		out.Targets = append(out.Targets, t)
 	}
 	return out, nil
 }
 
+func believed(t crew.Target) *peer.BelievedTarget {
+	return &peer.BelievedTarget{
+		Id: t.ID(), Born: t.Born(), Address: t.Address(), Place: t.Place(), Service: t.Service(),
+		Slots: uint32(max(t.Slots(), 0)), Leaving: t.State() == crew.Leaving,
+	}
+}
+
 func (g *Gateway) routersOf(in []*peer.RouterAddress) map[string]netip.AddrPort {
 	out := make(map[string]netip.AddrPort, len(in))
 	for _, r := range in {
@@ -173,15 +192,21 @@
 	return out
 }
 
-func believedTargets(in []*peer.BelievedTarget) []crew.Target {
-	out := make([]crew.Target, 0, len(in))
+// listed is a peer's word on the whole registry.
+func listed(in []*peer.BelievedTarget, revision uint64, now time.Time) crew.Listed {
+	out := crew.Listed{At: now, Revision: revision}
 	for _, b := range in {
 		state := crew.Ready
 		if b.Leaving {
 			state = crew.Leaving
 		}
-		out = append(out, crew.NewTarget(b.Id, b.Service, b.Address,
-			crew.WithBorn(b.Born), crew.WithPlace(b.Place), crew.WithSlots(int(b.Slots)), crew.WithState(state)))
+		t := crew.NewTarget(b.Id, b.Service, b.Address,
+			crew.WithBorn(b.Born), crew.WithPlace(b.Place), crew.WithSlots(int(b.Slots)), crew.WithState(state))
+		if b.Doubted {
+			out.Doubts = append(out.Doubts, crew.Doubt{Target: t, Left: time.Duration(b.LeftMs) * time.Millisecond})
+			continue
+		}
+		out.Targets = append(out.Targets, t)
 	}
 	return out
 }
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -72,6 +72,8 @@
 type planned struct {
 	plan *plan.Plan
 	raw  []byte
+	// revision is that of the store's row.
+	revision uint64
 }
 
 // New returns a Gateway that knows nothing yet.
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -13,6 +13,7 @@
 
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
+	"vanillalug.example/rota"
 	"vanillalug.example/schedule"
 )
 
@@ -20,7 +21,9 @@
 	// shareInterval is the time between two datagrams while there is work.
 	shareInterval = 200 * time.Millisecond
 	// quietShares is how many intervals pass between datagrams without work.
-	quietShares = 5
+	quietShares = 2
+	// heardSlack is kept beyond the time in which a peer speaks.
+	heardSlack = 300 * time.Millisecond
 	// newsShares is how often each peer is told of news, as datagrams are lost.
 	newsShares = 3
 	// peersPerInterval is how many peers are told in one interval; with more
@@ -52,6 +55,8 @@
 	address netip.AddrPort
 	// heard is when it was heard last, or became known.
 	heard time.Time
+	// following says that it had heard from the store then.
+	following bool
 }
 
 // ahead is what a peer said that it knows.
@@ -60,6 +65,8 @@
 	version  uint64
 	revision uint64
 	digest   uint64
+	// following says that the peer has heard from the store lately.
+	following bool
 }
 
 // placed is a placement that peers are still told of.
@@ -90,7 +97,7 @@
 func (p *peers) heard(name string, a ahead) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.known[name] = &router{address: a.from, heard: p.clock.Now()}
+	p.known[name] = &router{address: a.from, heard: p.clock.Now(), following: a.following}
 	p.ahead[name] = a
 }
 
@@ -132,15 +139,36 @@
 	return p.seeds
 }
 
-// next returns the peers that are told in this interval.
-func (p *peers) next() []netip.AddrPort {
+// lately returns the peers that were heard within the time in which each of
+// them speaks twice.
+func (p *peers) lately() []rota.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := p.clock.Now().Add(-heardSlack - 2*p.cycle())
+	var out []rota.Peer
+	for name, r := range p.known {
+		if r.heard.After(since) {
+			out = append(out, rota.Peer{Name: name, Following: r.following})
+		}
+	}
+	return out
+}
+
+// cycle is the longest time in which every peer is told something.
+func (p *peers) cycle() time.Duration {
+	return shareInterval * time.Duration(max(p.groups(), quietShares))
+}
+
+// next returns the peers that are told in this interval: a part of them in
+// turn, or all where there is news.
+func (p *peers) next(news bool) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	groups := p.groups()
 	p.turn = (p.turn + 1) % groups
 	out := make([]netip.AddrPort, 0, peersPerInterval)
 	for name, r := range p.known {
-		if int(hashOf(name)%uint64(groups)) == p.turn {
+		if news || int(hashOf(name)%uint64(groups)) == p.turn {
 			out = append(out, r.address)
 		}
 	}
@@ -152,22 +180,23 @@
 	return max((len(p.known)+peersPerInterval-1)/peersPerInterval, 1)
 }
 
-// speak reports whether it is time for a datagram; without work and news most
-// intervals pass in silence.
-func (p *peers) speak(busy bool, k knowledge) bool {
+// speak reports whether it is time for a datagram, and whether it has news.
+// Without work and news some intervals pass in silence.
+func (p *peers) speak(busy bool, k knowledge) (now, news bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if k != p.told {
 		p.told = k
-		p.news = newsShares * p.groups()
+		p.news = newsShares
 	}
 	p.quiet++
-	if !busy && p.news == 0 && p.quiet < quietShares {
-		return false
+	news = p.news > 0
+	if !busy && !news && p.quiet < quietShares/p.groups() {
+		return false, false
 	}
 	p.quiet = 0
 	p.news = max(p.news-1, 0)
-	return true
+	return true, news
 }
 
 // place keeps a placement for the next datagrams.
@@ -216,7 +245,8 @@
 // shareLoads tells peers this router's own work and what it knows.
 func (g *Gateway) shareLoads(now time.Time) {
 	own := g.board.Own()
-	if !g.peers.speak(len(own) > 0, g.known()) {
+	speak, news := g.peers.speak(len(own) > 0, g.known())
+	if !speak {
 		return
 	}
 	message, err := proto.Marshal(g.share(own, now))
@@ -224,7 +254,7 @@
 		g.log.Error("cannot write the loads for peers", "error", err)
 		return
 	}
-	for _, a := range g.peers.next() {
+	for _, a := range g.peers.next(news) {
 		if _, err := g.peers.conn.WriteToUDPAddrPort(message, a); err != nil {
 			g.log.Debug("cannot tell a peer the loads", "peer", a.String(), "error", err)
 		}
@@ -235,7 +265,8 @@
 	k := g.known()
 	out := &peer.Share{
 		From: g.cfg.Name, PlanVersion: k.version, RegistryRevision: k.revision, RegistryDigest: k.digest,
-		Loads: make([]*peer.TargetLoad, 0, len(own)),
+		Following: g.watchers.registry.fresh(),
+		Loads:     make([]*peer.TargetLoad, 0, len(own)),
 	}
 	for key, l := range own {
 		out.Loads = append(out.Loads, &peer.TargetLoad{
@@ -278,7 +309,10 @@
 	for _, p := range s.Placements {
 		g.memory.Note(fitting.Placement{Prompt: p.Prompt, Target: fitting.Key(p.Target)}, now)
 	}
-	a := ahead{from: from, version: s.PlanVersion, revision: s.RegistryRevision, digest: s.RegistryDigest}
+	a := ahead{
+		from: from, version: s.PlanVersion, revision: s.RegistryRevision, digest: s.RegistryDigest,
+		following: s.Following,
+	}
 	g.peers.heard(s.From, a)
 	if g.known().behind(a) {
 		g.noticeBehind()
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -11,6 +11,7 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/crew"
 	"vanillalug.example/platform"
+	"vanillalug.example/rota"
 )
 
 const (
@@ -25,6 +26,10 @@
 	listTimeout = 1500 * time.Millisecond
 	// feedPause lets changes that come together be read together.
 	feedPause = 250 * time.Millisecond
+	// restTime is how long a router relies on its peers before it asks the
+	// store again, restInterval how often it looks whether it still may.
+	restTime     = 10 * time.Second
+	restInterval = 250 * time.Millisecond
 	// retryDelay is the first delay after a failed call; it is spread by half.
 	retryDelay    = 120 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
@@ -73,11 +78,43 @@
 	lost     func(time.Time)
 	regained func(time.Time)
 
-	since    uint64
 	failures int
 
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc
+	since  uint64
+	heard  time.Time
+}
+
+// onDuty reports whether this router follows the store itself.
+func (g *Gateway) onDuty() bool { return rota.OnDuty(g.cfg.Name, g.peers.lately()) }
+
+// advance takes in that everything up to a revision is known.
+func (w *watcher) advance(revision uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.since > 0 {
+		w.since = max(w.since, revision)
+	}
+}
+
+func (w *watcher) reach() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.since
+}
+
+func (w *watcher) restart() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.since = 0
+}
+
+// fresh reports whether the store was heard within the time of a feed.
+func (w *watcher) fresh() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.g.clock.Now().Sub(w.heard) < w.wait+feedSlack+feedPause
 }
 
 func (w *watcher) run(ctx context.Context) {
@@ -103,7 +140,17 @@
 		w.failed(err)
 		sleep(ctx, w.delay())
 	case changed:
-		sleep(ctx, feedPause)
+		sleep(call, feedPause)
+	default:
+		w.rest(call)
+	}
+}
+
+// rest waits while enough peers follow the store; what they hear, they tell.
+func (w *watcher) rest(ctx context.Context) {
+	end := w.g.clock.Now().Add(restTime/2 + rand.N(restTime))
+	for ctx.Err() == nil && w.g.clock.Now().Before(end) && !w.g.onDuty() {
+		sleep(ctx, restInterval)
 	}
 }
 
@@ -118,24 +165,28 @@
 
 // step makes one call; it reports whether it brought any change.
 func (w *watcher) step(ctx context.Context) (changed bool, err error) {
-	if w.since == 0 {
+	since := w.reach()
+	if since == 0 {
 		return true, w.readList(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.wait+feedSlack)
+	wait := w.wait
+	if !w.g.onDuty() {
+		wait = 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+feedSlack)
 	defer cancel()
-	rows, err := w.feed(ctx, w.since, w.wait)
+	rows, err := w.feed(ctx, since, wait)
 	var gone *platform.HistoryGoneError
 	if errors.As(err, &gone) {
 		w.g.log.Warn("history of the store is gone; listing again", "table", w.name, "since", gone.Since)
-		w.since = 0
-		return false, nil
+		w.restart()
+		return true, nil
 	}
 	if err != nil {
 		return false, err
 	}
-	w.succeeded()
+	w.succeeded(rows)
 	w.fed(rows)
-	w.since = max(w.since, rows.Revision())
 	return len(rows.All()) > 0, nil
 }
 
@@ -146,9 +197,8 @@
 	if err != nil {
 		return err
 	}
-	w.succeeded()
+	w.succeeded(rows)
 	w.listed(rows)
-	w.since = rows.Revision()
 	return nil
 }
 
@@ -157,17 +207,21 @@
 	if w.failures > 1 {
 		return
 	}
-	w.g.log.Warn("lost the store", "table", w.name, "since", w.since, "error", err)
+	w.g.log.Warn("lost the store", "table", w.name, "since", w.reach(), "error", err)
 	if w.lost != nil {
 		w.lost(w.g.clock.Now())
 	}
 }
 
-func (w *watcher) succeeded() {
+func (w *watcher) succeeded(rows platform.Rows) {
+	w.mu.Lock()
+	w.since = max(w.since, rows.Revision())
+	w.heard = w.g.clock.Now()
+	w.mu.Unlock()
 	if w.failures == 0 {
 		return
 	}
-	w.g.log.Info("regained the store", "table", w.name, "since", w.since, "failures", w.failures)
+	w.g.log.Info("regained the store", "table", w.name, "since", rows.Revision(), "failures", w.failures)
 	w.failures = 0
 	if w.regained != nil {
 		w.regained(w.g.clock.Now())
@@ -176,7 +230,7 @@
 
 func (w *watcher) delay() time.Duration {
 	longest := maxRetryDelay
-	if w.since == 0 {
+	if w.reach() == 0 {
 		longest = maxStartDelay
 	}
 	d := min(retryDelay<<min(w.failures-1, 4), longest)
--- a/crew/book.go
+++ b/crew/book.go
@@ -77,11 +77,18 @@
 	return sure
 }
 
-// All returns every target that is believed to exist, by id.
-func (b *Book) All() []Target {
+// All returns every target that is believed to exist or doubted, by id.
+func (b *Book) All() []Target { return b.collect(func(*entry) bool { return true }) }
+
+// Sure returns every target that is believed to exist, by id.
+func (b *Book) Sure() []Target { return b.collect(func(e *entry) bool { return !e.doubted }) }
+
+func (b *Book) collect(keep func(*entry) bool) []Target {
 	out := make([]Target, 0, len(b.targets))
 	for _, e := range b.targets {
-		out = append(out, e.target)
+		if keep(e) {
+			out = append(out, e.target)
+		}
 	}
 	slices.SortFunc(out, func(a, b Target) int { return cmp.Compare(a.id, b.id) })
 	return out
@@ -97,6 +104,10 @@
 		listed[t.id] = true
 		out = append(out, b.put(t)...)
 	}
+	for _, d := range e.Doubts {
+		listed[d.Target.id] = true
+		out = append(out, b.doubt(d.Target, e.At.Add(d.Left))...)
+	}
 	for _, t := range b.All() {
 		if !listed[t.id] {
 			out = append(out, b.drop(t.id, e.At)...)
@@ -106,6 +117,30 @@
 	return out
 }
 
+// doubt takes over a peer's doubt.
+func (b *Book) doubt(t Target, until time.Time) []Effect {
+	out := b.put(t)
+	e := b.targets[t.id]
+	if e.target.state != Ready {
+		return out
+	}
+	e.doubted = true
+	e.until = until
+	return append(out, Doubted{Target: e.target, Until: until})
+}
+
+// Doubts returns the targets whose entries are gone, and how long they may
+// still come back.
+func (b *Book) Doubts(now time.Time) []Doubt {
+	var out []Doubt
+	for _, e := range b.targets {
+		if e.doubted {
+			out = append(out, Doubt{Target: e.target, Left: min(max(e.until.Sub(now), 0), ReturnTime)})
+		}
+	}
+	return out
+}
+
 func (b *Book) change(e Changed) []Effect {
 	if e.Revision <= b.revision {
 		return nil
--- a/crew/book_test.go
+++ b/crew/book_test.go
@@ -106,6 +106,24 @@
 			},
 			nil,
 		},
+		"a peer's doubt is no belief": {
+			[]Event{
+				Listed{Targets: []Target{target("a", 1, Ready), target("b", 1, Ready)}, Revision: 1},
+				Listed{
+					At: at(1), Targets: []Target{target("b", 1, Ready)}, Revision: 2,
+					Doubts: []Doubt{{Target: target("a", 1, Ready), Left: time.Second}},
+				},
+			},
+			[]string{"b/1"},
+		},
+		"a peer's doubt ends with its time": {
+			[]Event{
+				Listed{Targets: []Target{target("a", 1, Ready)}, Revision: 1},
+				Listed{At: at(1), Revision: 2, Doubts: []Doubt{{Target: target("a", 1, Ready), Left: time.Second}}},
+				Elapsed{At: at(2)},
+			},
+			nil,
+		},
 		"leaving before the registry was lost stays so": {
 			[]Event{
 				Listed{Targets: []Target{target("a", 1, Leaving)}, Revision: 1}, Lost{At: at(1)},
--- a/crew/event.go
+++ b/crew/event.go
@@ -10,6 +10,15 @@
 	At       time.Time
 	Targets  []Target
 	Revision uint64
+	// Doubts are targets whose entries are gone, which may be due to the
+	// registry's trouble, as a peer believes.
+	Doubts []Doubt
+}
+
+// Doubt is a target that is gone unless its entry is back within the time.
+type Doubt struct {
+	Target Target
+	Left   time.Duration
 }
 
 // Changed says that a target registered or changed its entry.
