--- /dev/null
+++ b/cmd/soak/fleet/router.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	grace       = 4 * time.Second
+	restartTime = 300 * time.Millisecond
+)
+
+// Router is a router as a process of its own. It is started again when it ends.
+type Router struct {
+	Name string
+	// Callers is the proxy that callers connect to.
+	Callers *Proxy
+	// Store is the proxy through which the router reaches the store.
+	Store *Proxy
+
+	bin   string
+	dir   string
+	ready string
+	entry string
+	peers string
+
+	mu      sync.Mutex
+	process *os.Process
+	ended   bool
+	exits   int
+	wanted  int
+}
+
+// NewRouter prepares a router; nothing runs yet.
+func NewRouter(bin, dir, name, store string) (*Router, error) {
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{Name: name, bin: bin, dir: dir, entry: addresses[0], ready: addresses[1], peers: addresses[2]}
+	if r.Callers, err = NewProxy(r.entry); err != nil {
+		return nil, err
+	}
+	if r.Store, err = NewProxy(store); err != nil {
+		return nil, err
+	}
+	text := fmt.Sprintf("[router]\nname = %s\nplace = a\n[listen]\nentry = %s\nready = %s\npeers = %s\nmetrics = %s\n"+
+		"[store]\naddress = %s\n[retries]\nratio = 0.2\nextra = 100\nwindow = 10s\n[times]\ngrace = %s\n",
+		name, r.entry, r.ready, r.peers, addresses[3], r.Store.Address(), grace)
+	return r, os.WriteFile(r.settings(), []byte(text), 0o600)
+}
+
+// Seed adds addresses of other routers to the settings.
+func (r *Router) Seed(others ...*Router) error {
+	var seeds []string
+	for _, o := range others {
+		seeds = append(seeds, o.peers)
+	}
+	text, err := os.ReadFile(r.settings())
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(r.settings(), append(text, "[peers]\nseeds = "+strings.Join(seeds, ", ")+"\n"...), 0o600)
+}
+
+// LogFile returns the file that the router's output goes to.
+func (r *Router) LogFile() string { return filepath.Join(r.dir, r.Name+".log") }
+
+// Entry returns the address that leads past the callers' proxy.
+func (r *Router) Entry() string { return r.entry }
+
+// Run starts the process, and again whenever it ends, until End.
+func (r *Router) Run() error {
+	out, err := os.OpenFile(r.LogFile(), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	go func() {
+		defer func() { _ = out.Close() }()
+		for r.runOnce(out) {
+			time.Sleep(restartTime)
+		}
+	}()
+	return nil
+}
+
+func (r *Router) runOnce(out *os.File) bool {
+	cmd := exec.Command(r.bin, "-deployment", r.settings())
+	cmd.Stdout, cmd.Stderr = out, out
+	r.mu.Lock()
+	if r.ended {
+		r.mu.Unlock()
+		return false
+	}
+	err := cmd.Start()
+	if err == nil {
+		r.process = cmd.Process
+	}
+	r.mu.Unlock()
+	if err != nil {
+		return false
+	}
+	_ = cmd.Wait()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.process = nil
+	r.exits++
+	return !r.ended
+}
+
+// Signal sends a signal to the process, if it runs. Signals that end it are
+// counted, so that ends of its own can be told apart.
+func (r *Router) Signal(s syscall.Signal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.process == nil {
+		return
+	}
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		r.wanted++
+	}
+	_ = r.process.Signal(s)
+}
+
+// OwnEnds returns how often the process ended without being told to.
+func (r *Router) OwnEnds() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.exits-r.wanted, 0)
+}
+
+// Ready reports whether the router says that it is ready.
+func (r *Router) Ready() bool {
+	client := http.Client{Timeout: time.Second}
+	w, err := client.Get("http://" + r.ready + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = w.Body.Close()
+	return w.StatusCode == http.StatusOK
+}
+
+// End stops the process for good.
+func (r *Router) End() {
+	r.mu.Lock()
+	r.ended = true
+	if r.process != nil {
+		_ = r.process.Signal(syscall.SIGCONT)
+		_ = r.process.Signal(syscall.SIGKILL)
+	}
+	r.mu.Unlock()
+	r.Callers.Close()
+	r.Store.Close()
+}
+
+func (r *Router) settings() string { return filepath.Join(r.dir, r.Name+".ini") }
+
+// freeAddresses returns addresses that nobody listened at a moment ago.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
