Read a long routing table from the store, not over a peer's narrow link

Ruled out: decoding (the lines of routers that read the store follow within milliseconds). Change: a peer gives a table of 48 KB and more only to a router that the store did not answer within 0.5 s.

--- a/cmd/mutants/mutant.go
+++ b/cmd/mutants/mutant.go
@@ -11,6 +11,9 @@
 	"vanillalug.example/form"
 )
 
+// testTimeout ends a test that a change makes wait for good.
+const testTimeout = "60s"
+
 // mutant is one change that a test has to find.
 type mutant struct {
 	name string
@@ -60,7 +63,7 @@
 	if out, err := exec.Command("go", "vet", "-overlay", file, m.pkg).CombinedOutput(); err != nil {
 		return false, fmt.Errorf("does not build: %s", out)
 	}
-	out, err := exec.Command("go", "test", "-count=1", "-overlay", file, "-run", "^"+m.test+"$", m.pkg).CombinedOutput()
+	out, err := exec.Command("go", "test", "-count=1", "-timeout", testTimeout, "-overlay", file, "-run", "^"+m.test+"$", m.pkg).CombinedOutput()
 	if err == nil && strings.Contains(string(out), "no tests to run") {
 		return false, fmt.Errorf("there is no test %s", m.test)
 	}
--- a/cmd/router/gateway/beliefs_test.go
+++ b/cmd/router/gateway/beliefs_test.go
@@ -29,6 +29,8 @@
 	s.publish(5)
 	require.Eventually(t, func() bool { return s.version() == 5 }, soon, tick)
 	s.publish(3)
+	time.Sleep(3 * feedPause)
+	require.Equal(t, uint64(5), s.version())
 	s.publish(6)
 	require.Eventually(t, func() bool { return s.version() == 6 }, soon, tick)
 	s.store.Put("op", "config", []byte("not a table"))
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -16,8 +16,13 @@
 	behindDelay = 250 * time.Millisecond
 	// restingDelay spreads the questions of routers that rely on their peers.
 	restingDelay = 60 * time.Millisecond
+	// longPlan is the size from which a routing table is read from the store
+	// and not from a peer, whose link is narrow, in bytes.
+	longPlan = 48 << 10
+	// storeTime is how long the store may take for it.
+	storeTime = 500 * time.Millisecond
 	// beliefsTimeout bounds a call to a peer.
-	beliefsTimeout = 600 * time.Millisecond
+	beliefsTimeout = 1500 * time.Millisecond
 	// seedDelay is the time between two questions to seeds; it is spread by half.
 	seedDelay = 300 * time.Millisecond
 )
@@ -70,10 +75,15 @@
 		if !ok {
 			continue
 		}
-		g.askPeer(ctx, a.from)
+		g.askPeer(ctx, a.from, false)
+		if !g.known().behind(a) {
+			continue
+		}
+		g.watchers.plan.interrupt()
+		g.watchers.registry.interrupt()
+		sleep(ctx, storeTime)
 		if g.known().behind(a) {
-			g.watchers.plan.interrupt()
-			g.watchers.registry.interrupt()
+			g.askPeer(ctx, a.from, true)
 		}
 	}
 }
@@ -103,20 +113,21 @@
 		}
 		seeds := g.peers.seedList()
 		if len(seeds) > 0 {
-			g.askPeer(ctx, seeds[rand.IntN(len(seeds))])
+			g.askPeer(ctx, seeds[rand.IntN(len(seeds))], true)
 		}
 	}
 }
 
-// askPeer takes over what a peer knows beyond this router.
-func (g *Gateway) askPeer(ctx context.Context, address netip.AddrPort) {
+// askPeer takes over what a peer knows beyond this router. Without insisting it
+// gets no long routing table.
+func (g *Gateway) askPeer(ctx context.Context, address netip.AddrPort, insist bool) {
 	k := g.known()
 	ctx, cancel := context.WithTimeout(ctx, beliefsTimeout)
 	defer cancel()
 	client := peer.NewBeliefsProtobufClient("http://"+address.String(), g.peerClient)
 	reply, err := client.GetBeliefs(ctx, &peer.GetBeliefsRequest{
 		PlanVersion: k.version, RegistryRevision: k.revision,
-		From: &peer.RouterAddress{Name: g.cfg.Name, Address: g.cfg.PeerAddress},
+		From: &peer.RouterAddress{Name: g.cfg.Name, Address: g.cfg.PeerAddress}, Insist: insist,
 	})
 	if err != nil {
 		g.log.Warn("a peer did not tell what it knows", "peer", address.String(), "version", k.version,
@@ -144,7 +155,7 @@
 	}
 	if p := g.plan.Load(); p != nil {
 		out.PlanVersion = p.plan.Version()
-		if p.plan.Version() > r.PlanVersion {
+		if p.plan.Version() > r.PlanVersion && (r.Insist || len(p.raw) < longPlan) {
 			out.Plan = p.raw
 			out.PlanRevision = p.revision
 		}
