Keep the bounded log from ending a process that stops

Cause: the soak with 40 routers once ended with 'r18 is not ready after 15s', and again, alone on the machine, with r7: its log ends in a panic, send on a closed channel, in the log writer of a process that was about to end because its port was taken. Two faults: the writer closed its queue while other parts still wrote (TestBoundedWriterAfterFlush), and the soak gave routers ports that outgoing connections may take.

--- a/cmd/soak/fleet/router.go
+++ b/cmd/soak/fleet/router.go
@@ -163,16 +163,38 @@
 
 func (r *Router) settings() string { return filepath.Join(r.dir, r.Name+".ini") }
 
-// freeAddresses returns addresses that nobody listened at a moment ago.
+// freeAddresses returns addresses that nobody listens at. They lie below the
+// ports that systems give to outgoing connections, so that none of those takes
+// one before the router does.
 func freeAddresses(n int) ([]string, error) {
+	portMu.Lock()
+	defer portMu.Unlock()
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+	for len(out) < n {
+		if nextPort > lastPort {
+			return nil, fmt.Errorf("freeAddresses: no port from %d to %d is free", firstPort, lastPort)
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		nextPort++
+		l, err := net.Listen("tcp4", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer func() { _ = l.Close() }()
-		out = append(out, l.Addr().String())
+		_ = l.Close()
+		out = append(out, address)
 	}
 	return out, nil
 }
+
+// The ports of routers.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+	// portStride keeps runs at the same time apart.
+	portStride = 1000
+)
+
+var (
+	portMu   sync.Mutex
+	nextPort = firstPort + os.Getpid()%((lastPort-firstPort)/portStride)*portStride
+)
--- a/reception/bounded_writer.go
+++ b/reception/bounded_writer.go
@@ -32,6 +32,7 @@
 	told    uint64
 
 	once sync.Once
+	stop chan struct{}
 	done chan struct{}
 }
 
@@ -41,6 +42,7 @@
 		out:   out,
 		lines: make(chan []byte, logQueue),
 		limit: rate.NewLimiter(logLinesPerSecond, logBurst),
+		stop:  make(chan struct{}),
 		done:  make(chan struct{}),
 	}
 	go w.run()
@@ -67,9 +69,10 @@
 // Dropped returns the number of lines that were left out.
 func (w *BoundedWriter) Dropped() uint64 { return w.dropped.Load() }
 
-// Flush waits until the lines so far are written, but not longer than the time.
+// Flush waits until the lines so far are written, but not longer than the
+// time. Lines that come later are left out.
 func (w *BoundedWriter) Flush(limit time.Duration) {
-	w.once.Do(func() { close(w.lines) })
+	w.once.Do(func() { close(w.stop) })
 	select {
 	case <-w.done:
 	case <-time.After(limit):
@@ -79,18 +82,40 @@
 func (w *BoundedWriter) run() {
 	defer close(w.done)
 	last := time.Now()
-	for line := range w.lines {
-		if _, err := w.out.Write(line); err != nil {
-			w.dropped.Add(1)
-			continue
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		case <-w.stop:
+			w.drain()
+			return
 		}
-		w.written.Add(1)
 		if time.Since(last) >= leftOutInterval {
 			last = time.Now()
 			w.tell()
 		}
 	}
-	w.tell()
+}
+
+func (w *BoundedWriter) write(line []byte) {
+	if _, err := w.out.Write(line); err != nil {
+		w.dropped.Add(1)
+		return
+	}
+	w.written.Add(1)
+}
+
+// drain writes what waits and what was left out.
+func (w *BoundedWriter) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.write(line)
+		default:
+			w.tell()
+			return
+		}
+	}
 }
 
 // tell writes how many lines were left out since it was last told.
--- a/reception/bounded_writer_test.go
+++ b/reception/bounded_writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -39,3 +40,15 @@
 	require.Equal(t, w.Written(), uint64(strings.Count(out.text.String(), "line\n")))
 	require.Equal(t, uint64(10000), w.Written()+w.Dropped())
 }
+
+// TestBoundedWriterAfterFlush: parts of a program that still write while it
+// ends do it no harm.
+func TestBoundedWriterAfterFlush(t *testing.T) {
+	w := NewBoundedWriter(io.Discard)
+	w.Flush(time.Second)
+	w.Flush(time.Second)
+	for range 2 * logQueue {
+		_, err := w.Write([]byte("late\n"))
+		require.NoError(t, err)
+	}
+}
