--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -25,7 +25,7 @@
 	requestCost = 5
 	// maxQueue is the multiple of its slots that may wait at a target; more of
 	// them are shed by the target itself.
-	maxQueue = 3
+	maxQueue = 4
 	// minReturn and maxReturn bound when a refused caller may come back.
 	minReturn = 200 * time.Millisecond
 	maxReturn = 3 * time.Second
