Try another target after 0.4 s without a connection, and suspect the first at once

A refused or silent connection proves that nothing was sent, so waiting longer gains nothing. A router's own limit of connections no longer counts against the target.

--- a/cmd/router/channel/pool.go
+++ b/cmd/router/channel/pool.go
@@ -11,7 +11,9 @@
 )
 
 const (
-	connectTimeout = time.Second
+	// connectTimeout is short, as nothing was sent and another target may be
+	// tried.
+	connectTimeout = 400 * time.Millisecond
 	// idleMargin is kept from the time at which a target closes an idle
 	// connection.
 	idleMargin = 800 * time.Millisecond
--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -33,7 +33,7 @@
 		return t.afterNoAnswer(ctx, p, noAnswer{cause: fmt.Errorf("body: %w", err)})
 	}
 	if o.answer.Status() >= http.StatusInternalServerError {
-		t.blame(p)
+		t.blame(p, answerWeight)
 		if t.route.Repeatable() && t.mayRepeat() {
 			t.detail = "status " + strconv.Itoa(o.answer.Status())
 			t.logAttempt("target failed", nil)
--- a/cmd/router/gateway/gateway_test.go
+++ b/cmd/router/gateway/gateway_test.go
@@ -191,6 +191,19 @@
 	require.Equal(t, 2, targets[0].Conns())
 }
 
+// TestUnreachableTarget: a target that takes no connection costs nobody an
+// answer, and is left alone after the first failure.
+func TestUnreachableTarget(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1", "p2", "p3")
+	s.ready(3)
+	targets[0].Close()
+	for i := range 12 {
+		require.Equal(t, 200, s.post("/once/x", name("a", i), "y").status)
+	}
+	require.Equal(t, 1, strings.Count(s.lines.String(), `"outcome":"not sent"`))
+}
+
 // TestExtraAnswer: a second answer on a connection reaches nobody.
 func TestExtraAnswer(t *testing.T) {
 	s := newStation(t)
--- a/cmd/router/gateway/post.go
+++ b/cmd/router/gateway/post.go
@@ -13,8 +13,11 @@
 	// failuresToSuspect is the number of failures in a row that make a target
 	// suspect.
 	failuresToSuspect = 2
-	suspectTime       = time.Second
-	maxSuspectTime    = 8 * time.Second
+	// connectWeight is that of a target that takes no connection.
+	connectWeight  = failuresToSuspect
+	answerWeight   = 1
+	suspectTime    = time.Second
+	maxSuspectTime = 8 * time.Second
 )
 
 // post is what this router has for one lifetime of a target.
@@ -47,12 +50,12 @@
 	p.until = time.Time{}
 }
 
-// failed counts a failure. It returns until when the target is suspect where
+// failed counts a failure by its weight. It returns until when the target is suspect where
 // it becomes so now, or the zero time.
-func (p *post) failed(now time.Time) time.Time {
+func (p *post) failed(now time.Time, weight int) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.failures++
+	p.failures += weight
 	if p.failures < failuresToSuspect {
 		return time.Time{}
 	}
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -30,7 +30,7 @@
 	}
 	t.logAttempt("stream broke off", err)
 	if ctx.Err() == nil {
-		t.blame(p)
+		t.blame(p, answerWeight)
 	}
 	if t.route.Repeatable() && t.mayRepeat() {
 		return true
--- a/cmd/router/gateway/trip.go
+++ b/cmd/router/gateway/trip.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"vanillalug.example/cmd/router/channel"
 	"vanillalug.example/fitting"
 	"vanillalug.example/plan"
 	"vanillalug.example/platform"
@@ -198,9 +200,9 @@
 }
 
 // blame counts a failure of the target.
-func (t *trip) blame(p *post) {
+func (t *trip) blame(p *post, weight int) {
 	now := t.g.clock.Now()
-	until := p.failed(now)
+	until := p.failed(now, weight)
 	if until.IsZero() {
 		return
 	}
@@ -210,7 +212,10 @@
 
 func (t *trip) afterNeverSent(p *post, o neverSent) bool {
 	t.connects++
-	t.blame(p)
+	var full *channel.FullError
+	if !errors.As(o.cause, &full) && t.r.Context().Err() == nil {
+		t.blame(p, connectWeight)
+	}
 	t.logAttempt("not sent", o.cause)
 	if t.connects >= maxConnects || t.over() {
 		t.giveUp(&refusal{status: http.StatusServiceUnavailable, reason: "no connection", retryAfter: fullRetry, cause: o.cause})
@@ -222,7 +227,7 @@
 func (t *trip) afterNotRun(p *post, o notRun) bool {
 	t.logAttempt("not run", nil)
 	if o.status == http.StatusMisdirectedRequest {
-		t.blame(p)
+		t.blame(p, answerWeight)
 	}
 	if t.mayRepeat() {
 		return true
@@ -235,7 +240,7 @@
 	t.ran = true
 	t.logAttempt("no answer", o.cause)
 	if ctx.Err() == nil {
-		t.blame(p)
+		t.blame(p, answerWeight)
 	}
 	if t.route.Repeatable() && t.mayRepeat() {
 		return true
