Split peers, trips and the book of targets; keep the wire's names in platform/

peers.go (who is known), share.go (datagrams), choice.go (what is asked of the decisions), crew/book_lapse.go. Tests and the soak sign requests by platformtest, so that header names stand in platform/ alone. No change of behaviour.

--- a/cmd/router/gateway/fuzz_test.go
+++ b/cmd/router/gateway/fuzz_test.go
@@ -49,7 +49,7 @@
 		require.LessOrEqual(t, runs, 1, "runs of %s", id)
 	}
 	require.LessOrEqual(t, runs, 2, "runs of %s", id)
-	seal := w.header.Get("X-Response-Seal")
+	seal := platformtest.Seal(w.header)
 	switch w.status {
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		require.Zero(t, runs, "refused, but run: %s", id)
--- a/cmd/router/gateway/gateway_test.go
+++ b/cmd/router/gateway/gateway_test.go
@@ -17,7 +17,6 @@
 // TestAnswers: what a caller gets for everything that two targets may do, one
 // after the other, and how often the request has run then.
 func TestAnswers(t *testing.T) {
-	const seal = "X-Response-Seal"
 	tests := map[string]struct {
 		path   string
 		does   []platformtest.Behaviour
@@ -70,7 +69,7 @@
 			if tt.body != "" {
 				require.Equal(t, tt.body, w.body)
 			}
-			require.Equal(t, tt.sealed, w.header.Get(seal) != "")
+			require.Equal(t, tt.sealed, platformtest.Seal(w.header) != "")
 			require.Equal(t, tt.runs, runsOf("id", targets))
 			if tt.status == http.StatusServiceUnavailable {
 				require.NotEmpty(t, w.header.Get("Retry-After"))
@@ -94,22 +93,16 @@
 	targets := s.add(plain, "p1")
 	s.ready(1)
 	const uri = "/safe//a/../b?x=%2f&y"
-	var head strings.Builder
-	own := []string{"X-Tenant", "X-Expect-Instance", "X-Kv-Retention", "X-Pin-Ms", "X-Kv-Replica", "Kv-From", "X-Request-Priority"}
-	for _, h := range own {
-		head.WriteString(h + ": caller\r\n")
-	}
-	answer := s.raw("GET " + uri + " HTTP/1.1\r\nHost: " + platformtest.Host + ":80\r\nX-Attempt-Id: id\r\n" + head.String() +
-		"Authorization: Bearer " + testKey + "\r\nX-Named: caller\r\nX-Other: kept\r\nConnection: close, X-Named\r\n\r\n")
+	answer := s.raw(platformtest.Head(http.MethodGet, uri, "id", testKey) + platformtest.Forge() +
+		"X-Named: caller\r\nX-Other: kept\r\nConnection: close, X-Named\r\n\r\n")
 	require.Contains(t, answer, "200 OK")
 	run := targets[0].Runs()[0]
 	require.Equal(t, uri, run.URI)
-	require.Equal(t, "acme", run.Header.Get("X-Tenant"))
-	require.Equal(t, "p1", run.Header.Get("X-Expect-Instance"))
+	require.Equal(t, "acme", run.Workspace())
+	require.Equal(t, "p1", run.Meant())
+	require.Empty(t, run.Forged())
 	require.Equal(t, "kept", run.Header.Get("X-Other"))
-	for _, h := range append(own[2:], "Authorization", "X-Named", "Connection") {
-		require.Empty(t, run.Header.Get(h), h)
-	}
+	require.Empty(t, run.Header.Get("X-Named")+run.Header.Get("Connection"))
 }
 
 func TestKeys(t *testing.T) {
@@ -142,8 +135,8 @@
 	s := newStation(t)
 	targets := s.add(plain, "p1")
 	s.ready(1)
-	answer := s.raw(fmt.Sprintf("POST /once/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: a\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
-		platformtest.Host, testKey, platformtest.BodyLimit+1))
+	answer := s.raw(platformtest.Head(http.MethodPost, "/once/x", "a", testKey) +
+		fmt.Sprintf("Content-Length: %d\r\n\r\n", platformtest.BodyLimit+1))
 	require.Contains(t, answer, "413 Request Entity Too Large")
 	require.Equal(t, 200, s.post("/once/x", "b", strings.Repeat("x", platformtest.BodyLimit)).status)
 	require.Len(t, targets[0].Runs()[0].Body, platformtest.BodyLimit)
@@ -225,9 +218,7 @@
 	client := &http.Client{Timeout: 50 * time.Millisecond}
 	r, err := http.NewRequest(http.MethodGet, s.entry.URL+"/safe/x", nil)
 	require.NoError(t, err)
-	r.Host = platformtest.Host
-	r.Header.Set("X-Attempt-Id", "id")
-	r.Header.Set("Authorization", "Bearer "+testKey)
+	platformtest.Sign(r, "id", testKey, time.Second)
 	w, err := client.Do(r)
 	if err == nil {
 		_ = w.Body.Close()
@@ -247,7 +238,7 @@
 	c, err := net.Dial("tcp4", strings.TrimPrefix(s.entry.URL, "http://"))
 	require.NoError(t, err)
 	defer func() { _ = c.Close() }()
-	_, err = io.WriteString(c, "GET /safe/x HTTP/1.1\r\nHost: "+platformtest.Host+"\r\nX-Attempt-Id: id\r\nAuthorization: Bearer "+testKey+"\r\n\r\n")
+	_, err = io.WriteString(c, platformtest.Head(http.MethodGet, "/safe/x", "id", testKey)+"\r\n")
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return runsOf("id", targets) == 1 }, soon, tick)
 	require.NoError(t, c.(*net.TCPConn).CloseWrite())
@@ -263,8 +254,7 @@
 	targets := s.add(plain, "p1")
 	s.ready(1)
 	begin := time.Now()
-	answer := s.raw("POST /short/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nX-Attempt-Id: id\r\nAuthorization: Bearer " + testKey +
-		"\r\nContent-Length: 10\r\n\r\nhalf")
+	answer := s.raw(platformtest.Head(http.MethodPost, "/short/x", "id", testKey) + "Content-Length: 10\r\n\r\nhalf")
 	require.Contains(t, answer, "408 Request Timeout")
 	require.Less(t, time.Since(begin), time.Second)
 	require.Zero(t, runsOf("id", targets))
@@ -283,9 +273,9 @@
 	s := newStation(t)
 	targets := s.add(plain, "p1")
 	s.ready(1)
-	raw := "POST /once/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nX-Attempt-Id: outer\r\nAuthorization: Bearer " + testKey +
-		"\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
-		"POST /once/x HTTP/1.1\r\nHost: " + platformtest.Host + "\r\nX-Attempt-Id: inner\r\nAuthorization: Bearer " + testKey + "\r\nContent-Length: 0\r\n\r\n"
+	raw := platformtest.Head(http.MethodPost, "/once/x", "outer", testKey) +
+		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+		platformtest.Head(http.MethodPost, "/once/x", "inner", testKey) + "Content-Length: 0\r\n\r\n"
 	answer := s.raw(raw)
 	require.Contains(t, answer, "Connection: close")
 	require.Zero(t, runsOf("inner", targets))
--- a/cmd/router/gateway/harness_test.go
+++ b/cmd/router/gateway/harness_test.go
@@ -160,10 +160,7 @@
 func (s *station) ask(method, path, id string, body io.Reader, change ...func(*http.Request)) got {
 	r, err := http.NewRequest(method, s.entry.URL+path, body)
 	require.NoError(s.t, err)
-	r.Host = platformtest.Host
-	r.Header.Set("X-Attempt-Id", id)
-	r.Header.Set("X-Deadline-Ms", "2000")
-	r.Header.Set("Authorization", "Bearer "+testKey)
+	platformtest.Sign(r, id, testKey, 2*time.Second)
 	for _, c := range change {
 		c(r)
 	}
--- a/cmd/soak/fleet/caller.go
+++ b/cmd/soak/fleet/caller.go
@@ -85,10 +85,7 @@
 		return
 	}
 	r.ContentLength = int64(len("work"))
-	r.Host = platformtest.Host
-	r.Header.Set("X-Attempt-Id", c.ID)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(callWait.Milliseconds()))
-	r.Header.Set("Authorization", "Bearer "+Key)
+	platformtest.Sign(r, c.ID, Key, callWait)
 	w, err := client.Do(r)
 	if err != nil {
 		c.Err = err
@@ -96,7 +93,7 @@
 	}
 	defer func() { _ = w.Body.Close() }()
 	body, err := io.ReadAll(w.Body)
-	c.Status, c.Seal, c.Body, c.Err = w.StatusCode, w.Header.Get("X-Response-Seal"), string(body), err
+	c.Status, c.Seal, c.Body, c.Err = w.StatusCode, platformtest.Seal(w.Header), string(body), err
 }
 
 // Ask sends one request to a router past its proxy and returns the status.
--- /dev/null
+++ b/crew/book_lapse.go
@@ -0,0 +1,78 @@
+package crew
+
+import "time"
+
+// doubt takes over a peer's doubt.
+func (b *Book) doubt(t Target, until time.Time) []Effect {
+	out := b.put(t)
+	e := b.targets[t.id]
+	if e.target.state != Ready {
+		return out
+	}
+	e.doubted = true
+	e.until = until
+	return append(out, Doubted{Target: e.target, Until: until})
+}
+
+// Doubts returns the targets whose entries are gone, and how long they may
+// still come back.
+func (b *Book) Doubts(now time.Time) []Doubt {
+	var out []Doubt
+	for _, e := range b.targets {
+		if e.doubted {
+			out = append(out, Doubt{Target: e.target, Left: min(max(e.until.Sub(now), 0), ReturnTime)})
+		}
+	}
+	return out
+}
+
+// drop forgets a target, at once or after the time in which an entry that
+// lapsed during the registry's trouble may return.
+func (b *Book) drop(id string, now time.Time) []Effect {
+	e, known := b.targets[id]
+	if !known {
+		return nil
+	}
+	until := b.regained.Add(ReturnTime)
+	if e.target.state == Ready && (b.lost || now.Before(until)) {
+		if e.doubted {
+			return nil
+		}
+		e.doubted = true
+		e.until = until
+		return []Effect{Doubted{Target: e.target, Until: until}}
+	}
+	delete(b.targets, id)
+	if e.target.state != Ready {
+		return nil
+	}
+	return []Effect{Left{Target: e.target, Reason: "removed"}}
+}
+
+func (b *Book) regain(e Regained) []Effect {
+	if !b.lost {
+		return nil
+	}
+	b.lost = false
+	b.regained = e.At
+	for _, entry := range b.targets {
+		if entry.doubted {
+			entry.until = e.At.Add(ReturnTime)
+		}
+	}
+	return nil
+}
+
+func (b *Book) elapse(e Elapsed) []Effect {
+	if b.lost {
+		return nil
+	}
+	var out []Effect
+	for id, entry := range b.targets {
+		if entry.doubted && !e.At.Before(entry.until) {
+			delete(b.targets, id)
+			out = append(out, Left{Target: entry.target, Reason: "lapsed"})
+		}
+	}
+	return out
+}
