Believe a peer's loads until it has had two turns, and bound placements in datagrams

Cause: with 180 routers and more a peer speaks less often than every 1.5 s, the fixed time for which its loads were believed, so that loads would come and go; found while working out docs/CAPACITY.md. A datagram carries the newest 48 placements at most. Tests for fleets of 1 to 409 peers.

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -15,7 +15,7 @@
 	for i, p := range posts {
 		keys[i] = p.key
 	}
-	loads := t.g.board.Loads(keys, now)
+	loads := t.g.board.Loads(keys, t.g.peers.freshSince())
 	held := make([]bool, len(posts))
 	if prompt, ok := t.req.Work().Key(); ok {
 		held = t.g.memory.Held(prompt, keys, now)
--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -53,7 +53,7 @@
 // exchange sends the request to a target and reads the head of its answer.
 func (t *trip) exchange(ctx context.Context, p *post) outcome {
 	now := t.g.clock.Now()
-	conn, err := p.pool.Get(ctx, now, t.connLimit(now))
+	conn, err := p.pool.Get(ctx, now, t.connLimit())
 	if err != nil {
 		return neverSent{cause: err}
 	}
@@ -82,12 +82,12 @@
 }
 
 // connLimit is this router's part of the connections that a target takes.
-func (t *trip) connLimit(now time.Time) int {
+func (t *trip) connLimit() int {
 	s, ok := t.plan.Service(t.service)
 	if !ok || s.MaxConns() == 0 {
 		return 0
 	}
-	return max(s.MaxConns()/(t.g.board.Peers(now)+1), 2)
+	return max(s.MaxConns()/t.g.routers(), 2)
 }
 
 // write sends the head and the body. A long body is written beside the reading
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -133,6 +133,9 @@
 	return p.plan.Limits().IdleTimeout()
 }
 
+// routers returns how many routers are alive, this one included.
+func (g *Gateway) routers() int { return g.board.Peers(g.peers.freshSince()) + 1 }
+
 // Open returns the number of requests in progress.
 func (g *Gateway) Open() int64 { return g.open.Load() }
 
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -19,6 +19,10 @@
 	quietShares = 2
 	// heardSlack is kept beyond the time in which a peer speaks.
 	heardSlack = 300 * time.Millisecond
+	// minLoadTime is how long the loads that a peer told are believed at least.
+	minLoadTime = 1500 * time.Millisecond
+	// maxTold bounds the placements in a datagram.
+	maxTold = 48
 	// newsShares is how often each peer is told of news, as datagrams are lost.
 	newsShares = 3
 	// peersPerInterval is how many peers are told in one interval; with more
@@ -138,7 +142,7 @@
 func (p *peers) lately() []rota.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	since := p.clock.Now().Add(-heardSlack - 2*p.cycle())
+	since := p.clock.Now().Add(-p.freshness())
 	var out []rota.Peer
 	for name, r := range p.known {
 		if r.heard.After(since) {
@@ -148,6 +152,16 @@
 	return out
 }
 
+// freshSince returns since when a living peer has spoken.
+func (p *peers) freshSince() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clock.Now().Add(-max(p.freshness(), minLoadTime))
+}
+
+// freshness is the time in which each peer speaks twice.
+func (p *peers) freshness() time.Duration { return heardSlack + 2*p.cycle() }
+
 // cycle is the longest time in which every peer is told something.
 func (p *peers) cycle() time.Duration {
 	return shareInterval * time.Duration(max(p.groups(), quietShares))
@@ -213,8 +227,9 @@
 		first++
 	}
 	p.placed = slices.Delete(p.placed, 0, first)
-	out := make([]fitting.Placement, len(p.placed))
-	for i, x := range p.placed {
+	newest := p.placed[max(len(p.placed)-maxTold, 0):]
+	out := make([]fitting.Placement, len(newest))
+	for i, x := range newest {
 		out[i] = x.placement
 	}
 	return out
--- /dev/null
+++ b/cmd/router/gateway/peers_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalug.example/fitting"
+	"vanillalug.example/schedule"
+)
+
+func peersOf(n int) (*peers, *schedule.Fake) {
+	clock := schedule.NewFake(time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC))
+	p := newPeers(clock)
+	found := map[string]netip.AddrPort{}
+	for i := range n {
+		found[name("r", i)] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+	}
+	p.add(found)
+	return p, clock
+}
+
+// TestPeersAreToldInTurn: in fleets of any size a router sends a bounded number
+// of datagrams, every peer is told within a cycle, and what a peer told is
+// believed until it has had two turns.
+func TestPeersAreToldInTurn(t *testing.T) {
+	for _, n := range []int{1, 17, 112, 299, 409} {
+		p, clock := peersOf(n)
+		told := map[netip.AddrPort]bool{}
+		for range p.groups() {
+			now := p.next(false)
+			require.LessOrEqual(t, len(now), 2*peersPerInterval)
+			for _, a := range now {
+				told[a] = true
+			}
+		}
+		require.Len(t, told, n)
+		require.Len(t, p.next(true), n, "news goes to all at once")
+		cycle := shareInterval * time.Duration(p.groups())
+		require.GreaterOrEqual(t, clock.Now().Sub(p.freshSince()), 2*cycle)
+	}
+}
+
+// TestPlacementsAreBounded: a datagram never carries more placements than it
+// has room for; the newest go first.
+func TestPlacementsAreBounded(t *testing.T) {
+	p, clock := peersOf(409)
+	for i := range 2 * maxTold {
+		p.place(fitting.Placement{Prompt: uint64(i)}, clock.Now())
+	}
+	got := p.recent(clock.Now())
+	require.Len(t, got, maxTold)
+	require.Equal(t, uint64(2*maxTold-1), got[maxTold-1].Prompt)
+	clock.Advance(time.Minute)
+	require.Empty(t, p.recent(clock.Now()))
+}
--- a/cmd/router/gateway/trip.go
+++ b/cmd/router/gateway/trip.go
@@ -196,7 +196,7 @@
 	if t.sends >= t.route.Attempts() || t.over() {
 		return false
 	}
-	return t.g.budget.Spend(t.service, t.g.board.Peers(now)+1, now)
+	return t.g.budget.Spend(t.service, t.g.routers(), now)
 }
 
 // over reports whether the caller is gone or its time is up.
--- a/fitting/board.go
+++ b/fitting/board.go
@@ -7,9 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// PeerTime is how long the loads that a peer told are believed.
-const PeerTime = 1500 * time.Millisecond
-
 // Key names a lifetime of a target among routers.
 type Key uint64
 
@@ -62,8 +59,9 @@
 	return out
 }
 
-// Loads returns the loads of the targets, as far as they are known.
-func (b *Board) Loads(keys []Key, now time.Time) []Load {
+// Loads returns the loads of the targets, as far as they are known. What a peer
+// told before the time since is forgotten.
+func (b *Board) Loads(keys []Key, since time.Time) []Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make([]Load, len(keys))
@@ -71,7 +69,7 @@
 		out[i] = b.own[k]
 	}
 	for peer, t := range b.peers {
-		if now.Sub(t.at) > PeerTime {
+		if t.at.Before(since) {
 			delete(b.peers, peer)
 			continue
 		}
@@ -82,13 +80,13 @@
 	return out
 }
 
-// Peers returns how many peers were heard lately.
-func (b *Board) Peers(now time.Time) int {
+// Peers returns how many peers were heard since the time.
+func (b *Board) Peers(since time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	n := 0
 	for _, t := range b.peers {
-		if now.Sub(t.at) <= PeerTime {
+		if !t.at.Before(since) {
 			n++
 		}
 	}
--- a/fitting/fitting_test.go
+++ b/fitting/fitting_test.go
@@ -196,7 +196,7 @@
 	b.Hear("r2", map[Key]Load{c: NewLoad(2, 0)}, start)
 	require.Equal(t, []Load{NewLoad(2, 50), NewLoad(2, 0)}, b.Loads([]Key{a, c}, start), "the newest word of a peer counts alone")
 	require.Equal(t, 1, b.Peers(start))
-	later := start.Add(PeerTime + time.Millisecond)
+	later := start.Add(time.Millisecond)
 	require.Equal(t, []Load{NewLoad(2, 50), {}}, b.Loads([]Key{a, c}, later), "a peer that fell silent has no work")
 	require.Zero(t, b.Peers(later))
 	b.Add(a, -2, -50)
--- a/fitting/replay_test.go
+++ b/fitting/replay_test.go
@@ -174,7 +174,7 @@
 		}
 	}
 	held := router.memory.Held(key, keys, r.time())
-	loads := router.board.Loads(keys, r.time())
+	loads := router.board.Loads(keys, r.time().Add(-2*replayShare))
 	candidates := make([]Candidate, len(live))
 	total := 0
 	for i, e := range live {
