Use targets again whose entries are back after the store's silence

An entry that returned within its two seconds cleared the doubt in the book but was no effect, so the posts were not renewed. Ruled out: versions that peers did not tell (the revisions were those of the store). There since doubts exist; seen only now, as with few followers the doubts last longer at routers that rest.

Change: a return is an effect. And doubted targets are used while they are the greater part of a service, as the few that are back first must not carry all. Tests: failing before; the oracle now wants an effect for every change of what is used.

--- a/cmd/router/gateway/beliefs.go
+++ b/cmd/router/gateway/beliefs.go
@@ -99,6 +99,8 @@
 	case crew.Left:
 		g.log.Info("target left", "target", e.Target.Lifetime(), "service", e.Target.Service(),
 			"reason", e.Reason, "revision", revision)
+	case crew.Returned:
+		g.log.Info("target is back", "target", e.Target.Lifetime(), "service", e.Target.Service(), "revision", revision)
 	case crew.Doubted:
 		g.log.Info("target lapsed while the store was away", "target", e.Target.Lifetime(), "revision", revision)
 	}
--- a/crew/book.go
+++ b/crew/book.go
@@ -53,7 +53,8 @@
 }
 
 // Usable returns the targets that take new work, by id. Doubted ones are left
-// out unless their service has no other.
+// out unless they are the greater part of their service: then the registry lost
+// its entries, and the few that are back must not carry everything.
 func (b *Book) Usable() map[string][]Target {
 	sure, doubted := map[string][]Target{}, map[string][]Target{}
 	for _, e := range b.targets {
@@ -67,8 +68,8 @@
 		into[e.target.service] = append(into[e.target.service], e.target)
 	}
 	for service, targets := range doubted {
-		if len(sure[service]) == 0 {
-			sure[service] = targets
+		if len(sure[service]) < len(targets) {
+			sure[service] = append(sure[service], targets...)
 		}
 	}
 	for _, targets := range sure {
@@ -144,6 +145,7 @@
 		return nil
 	}
 	before := old.target
+	returned := old.doubted
 	old.doubted = false
 	same := before.Lifetime() == t.Lifetime() && before.address == t.address && before.service == t.service
 	if same && before.state == Leaving {
@@ -151,6 +153,8 @@
 	}
 	old.target = t
 	switch {
+	case same && before.state == t.state && returned:
+		return []Effect{Returned{Target: t}}
 	case same && before.state == t.state:
 		return nil
 	case same:
--- a/crew/book_test.go
+++ b/crew/book_test.go
@@ -139,6 +139,14 @@
 			},
 			nil,
 		},
+		"most of a service lapsed, all are used": {
+			[]Event{
+				Listed{Targets: []Target{target("a", 1, Ready), target("b", 1, Ready), target("c", 1, Ready)}, Revision: 1},
+				Lost{At: at(1)}, Regained{At: at(9)}, Removed{At: at(9.1), ID: "a", Revision: 2},
+				Removed{At: at(9.1), ID: "b", Revision: 3}, Elapsed{At: at(10)},
+			},
+			[]string{"a/1", "b/1", "c/1"},
+		},
 		"leaving before the registry was lost stays so": {
 			[]Event{
 				Listed{Targets: []Target{target("a", 1, Leaving)}, Revision: 1},
@@ -171,12 +179,19 @@
 		born := map[string]int64{"a": 1, "b": 1, "c": 1}
 		away := false
 		pending := []Event{}
+		handle := func(e Event) {
+			before := ids(b)
+			effects := b.Handle(e)
+			if len(effects) == 0 {
+				require.Equal(t, before, ids(b), "a change that nobody is told of: %T", e)
+			}
+		}
 		send := func(e Event) {
 			if away {
 				pending = append(pending, e)
 				return
 			}
-			b.Handle(e)
+			handle(e)
 		}
 		list := func() Listed {
 			l := Listed{At: now, Revision: revision}
@@ -215,22 +230,22 @@
 				born[k]++
 				send(Removed{At: now, ID: k, Revision: revision})
 			},
-			"lose": func(*rapid.T) { away = true; b.Handle(Lost{At: now}) },
+			"lose": func(*rapid.T) { away = true; handle(Lost{At: now}) },
 			"regain": func(t *rapid.T) {
 				away = false
-				b.Handle(Regained{At: now})
+				handle(Regained{At: now})
 				if rapid.Bool().Draw(t, "history gone") {
-					b.Handle(list())
+					handle(list())
 				} else {
 					for _, e := range pending {
-						b.Handle(e)
+						handle(e)
 					}
 				}
 				pending = nil
 			},
 			"time": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
-				b.Handle(Elapsed{At: now})
+				handle(Elapsed{At: now})
 			},
 			"": func(t *rapid.T) {
 				for _, x := range b.All() {
@@ -244,11 +259,11 @@
 			},
 		})
 		away = false
-		b.Handle(Regained{At: now})
+		handle(Regained{At: now})
 		for _, e := range pending {
-			b.Handle(e)
+			handle(e)
 		}
-		b.Handle(Elapsed{At: now.Add(ReturnTime)})
+		handle(Elapsed{At: now.Add(ReturnTime)})
 		var want []string
 		for _, k := range []string{"a", "b", "c"} {
 			if x, ok := registry[k]; ok && x.State() == Ready {
--- a/crew/event.go
+++ b/crew/event.go
@@ -70,6 +70,10 @@
 	Until  time.Time
 }
 
-func (Joined) effect()  {}
-func (Left) effect()    {}
-func (Doubted) effect() {}
+// Returned says that the entry of a doubted target is back.
+type Returned struct{ Target Target }
+
+func (Returned) effect() {}
+func (Joined) effect()   {}
+func (Left) effect()     {}
+func (Doubted) effect()  {}
