--- a/crew/book_test.go
+++ b/crew/book_test.go
@@ -142,8 +142,11 @@
 		"most of a service lapsed, all are used": {
 			[]Event{
 				Listed{Targets: []Target{target("a", 1, Ready), target("b", 1, Ready), target("c", 1, Ready)}, Revision: 1},
-				Lost{At: at(1)}, Regained{At: at(9)}, Removed{At: at(9.1), ID: "a", Revision: 2},
-				Removed{At: at(9.1), ID: "b", Revision: 3}, Elapsed{At: at(10)},
+				Lost{At: at(1)},
+				Regained{At: at(9)},
+				Removed{At: at(9.1), ID: "a", Revision: 2},
+				Removed{At: at(9.1), ID: "b", Revision: 3},
+				Elapsed{At: at(10)},
 			},
 			[]string{"a/1", "b/1", "c/1"},
 		},
