Read long registries page by page, tell peers changes only, rest longer, learn from dropped connections

The whole registry had to be read within 1.5 s, and every failure began it again at 300 routers at once. Each page has its own time now, and a reading goes on where it failed. A test with pages that take longer together than one call may failed before.

Cause 3: each change of the registry was fetched by each router as the whole list of targets. A peer that believes what a remembered digest says is told the changes only. The book's digest is kept, not worked out anew. Changes that share a revision, as those of one transaction do, were lost but the first; they are believed together now (test failed first).

Cause 4: resting routers asked the store every 5 to 15 s, though peers tell them; now every 30 to 90 s, the list of routers likewise.

The first reset now teaches the router for how long connections of the service may be idle for such requests.

--- a/cmd/router/channel/conn.go
+++ b/cmd/router/channel/conn.go
@@ -24,11 +24,15 @@
 	used      bool
 	idleSince time.Time
 	idleFor   time.Duration
+	idle      time.Duration
 }
 
 // Reused reports whether the connection has served a request before.
 func (c *Conn) Reused() bool { return c.used }
 
+// Idle returns how long the connection was idle before it was taken last.
+func (c *Conn) Idle() time.Duration { return c.idle }
+
 // ReadAnswer reads the head of the next answer; its body is read from the
 // connection.
 func (c *Conn) ReadAnswer(method string) (*http.Response, error) {
--- a/cmd/router/channel/pool.go
+++ b/cmd/router/channel/pool.go
@@ -66,20 +66,30 @@
 // NewPool returns a pool for a target's IP number and port.
 func NewPool(address string) *Pool { return &Pool{address: address} }
 
+// Limits bound which connection a request gets.
+type Limits struct {
+	// Open is the most open connections; 0 is no limit.
+	Open int
+	// Idle is how long a connection may have been idle; 0 is as long as the
+	// target said.
+	Idle time.Duration
+}
+
 // Get returns the connection that was used last and is sound, or a new one,
 // unless the limit of open connections is reached.
-func (p *Pool) Get(ctx context.Context, now time.Time, limit int) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, now time.Time, limits Limits) (*Conn, error) {
 	for {
 		c := p.take()
 		if c == nil {
 			break
 		}
-		if now.Sub(c.idleSince) < usableFor(c.idleFor) && c.sound() {
+		c.idle = now.Sub(c.idleSince)
+		if c.idle < usableFor(c.idleFor) && (limits.Idle == 0 || c.idle < limits.Idle) && c.sound() {
 			return c, nil
 		}
 		c.Discard()
 	}
-	return p.dial(ctx, limit)
+	return p.dial(ctx, limits.Open)
 }
 
 // End closes the idle connections; those in use are closed after their request.
--- a/cmd/router/gateway/announce.go
+++ b/cmd/router/gateway/announce.go
@@ -15,7 +15,7 @@
 	// announceDelay lets the other routers announce themselves first.
 	announceDelay = 2 * time.Second
 	// peersInterval is the time between two reads of the routers' table.
-	peersInterval   = 15 * time.Second
+	peersInterval   = time.Minute
 	announceTimeout = 3 * time.Second
 	// retireTime is how long a router is not heard before its row is removed.
 	retireTime = 10 * time.Minute
@@ -66,14 +66,12 @@
 // is among them. Routers that are gone for long are removed; one that lives
 // announces itself again.
 func (g *Gateway) readPeers(ctx context.Context) (listed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	rows, err := g.store.Routers(ctx)
-	if err != nil {
+	reading := g.store.ReadRouters()
+	if err := readPages(ctx, reading); err != nil {
 		return false, err
 	}
 	found := map[string]netip.AddrPort{}
-	for _, r := range rows.All() {
+	for _, r := range reading.Rows().All() {
 		if r.Key() == g.cfg.Name {
 			listed = true
 			continue
--- a/cmd/router/gateway/beliefs.go
+++ b/cmd/router/gateway/beliefs.go
@@ -53,40 +53,40 @@
 // applyTargetRows believes changes of the registry.
 func (g *Gateway) applyTargetRows(rows platform.Rows) {
 	now := g.clock.Now()
-	events := make([]crew.Event, 0, len(rows.All()))
+	changes := make([]crew.Event, 0, len(rows.All()))
 	for _, r := range rows.All() {
 		if r.Deleted() {
-			events = append(events, crew.Removed{At: now, ID: r.Key(), Revision: r.Revision()})
+			changes = append(changes, crew.Removed{At: now, ID: r.Key(), Revision: r.Revision()})
 			continue
 		}
 		t, err := platform.DecodeTarget(r)
 		if err != nil {
 			g.log.Warn("entry of the registry names no target", "id", r.Key(), "error", err)
-			events = append(events, crew.Removed{At: now, ID: r.Key(), Revision: r.Revision()})
+			changes = append(changes, crew.Removed{At: now, ID: r.Key(), Revision: r.Revision()})
 			continue
 		}
-		events = append(events, crew.Changed{At: now, Target: t, Revision: r.Revision()})
+		changes = append(changes, crew.Changed{At: now, Target: t, Revision: r.Revision()})
+	}
+	if len(changes) > 0 {
+		g.handle(crew.Fed{Changes: changes})
 	}
-	g.handle(events...)
 }
 
-// handle takes events into the book and renews the posts where they changed
+// handle takes an event into the book and renews the posts where it changed
 // anything.
-func (g *Gateway) handle(events ...crew.Event) {
+func (g *Gateway) handle(e crew.Event) {
 	g.bookMu.Lock()
 	defer g.bookMu.Unlock()
-	changed := false
-	for _, e := range events {
-		for _, effect := range g.book.Handle(e) {
-			g.logEffect(effect)
-			changed = true
-		}
+	effects := g.book.Handle(e)
+	for _, effect := range effects {
+		g.logEffect(effect)
 	}
-	if changed {
+	if len(effects) > 0 {
 		g.renew()
 	}
-	if k := g.registry.Load(); changed || k == nil || k.revision != g.book.Revision() {
-		g.registry.Store(&knowledge{revision: g.book.Revision(), digest: g.book.Digest()})
+	k := knowledge{revision: g.book.Revision(), digest: g.book.Digest()}
+	if old := g.registry.Load(); old == nil || *old != k {
+		g.registry.Store(&k)
 	}
 }
 
--- a/cmd/router/gateway/beliefs_test.go
+++ b/cmd/router/gateway/beliefs_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillalug.example/peer"
 	"vanillalug.example/platform/platformtest"
 )
 
@@ -74,6 +76,23 @@
 	require.Eventually(t, func() bool { return s.version() == 2 }, soon, tick)
 }
 
+// TestLongRegistry: a registry of so many pages that it takes longer to read
+// than one call may is read once, page by page, also where some pages fail.
+func TestLongRegistry(t *testing.T) {
+	const targets, page, delay = 30, 6, 600 * time.Millisecond
+	store := platformtest.NewStore()
+	store.PutJSON("op", "config", platformtest.Plan(1, []string{testKey}, routes()...))
+	for i := range targets {
+		id := name("p", i)
+		store.PutJSON("servers", id, map[string]any{
+			"service": plain, "address": "127.0.0.1:1", "zone": "a", "slots": 6, "state": "ready", "sequence": 1, "born": 1,
+		})
+	}
+	store.SetPages(platformtest.Pages{Rows: page, Delay: delay})
+	s := newStationAt(t, store, "r1")
+	s.ready(targets)
+}
+
 func TestEntriesThatNameNoTarget(t *testing.T) {
 	s := newStation(t)
 	s.add(plain, "p1")
@@ -117,6 +136,32 @@
 	}, 2*time.Second, tick, "the bound for a leaving target")
 }
 
+// TestPeersTellChanges: a peer that is a little behind is told what changed, and
+// one whose beliefs are not known is told of every target.
+func TestPeersTellChanges(t *testing.T) {
+	s := newStation(t)
+	targets := s.add(plain, "p1", "p2", "p3")
+	s.ready(3)
+	before := s.g.known()
+	s.store.PutJSON("servers", "p1", targets[0].Entry("draining"))
+	s.store.Delete("servers", "p2")
+	s.ready(1)
+	ask := func(digest uint64) *peer.GetBeliefsReply {
+		reply, err := s.g.GetBeliefs(context.Background(), &peer.GetBeliefsRequest{
+			PlanVersion: 1, RegistryRevision: before.revision, RegistryDigest: digest,
+		})
+		require.NoError(t, err)
+		return reply
+	}
+	reply := ask(before.digest)
+	require.True(t, reply.Partial)
+	require.Len(t, reply.Changes, 2)
+	require.Empty(t, reply.Targets)
+	reply = ask(before.digest + 1)
+	require.False(t, reply.Partial)
+	require.Len(t, reply.Targets, 2, "the one that leaves is there still")
+}
+
 // TestLogTellsWhatChanged: each change of a belief leaves a line.
 func TestLogTellsWhatChanged(t *testing.T) {
 	s := newStation(t)
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -126,7 +126,7 @@
 	defer cancel()
 	client := peer.NewBeliefsProtobufClient("http://"+address.String(), g.peerClient)
 	reply, err := client.GetBeliefs(ctx, &peer.GetBeliefsRequest{
-		PlanVersion: k.version, RegistryRevision: k.revision,
+		PlanVersion: k.version, RegistryRevision: k.revision, RegistryDigest: k.digest,
 		From: &peer.RouterAddress{Name: g.cfg.Name, Address: g.cfg.PeerAddress}, Insist: insist,
 	})
 	if err != nil {
@@ -142,8 +142,8 @@
 		g.watchers.plan.advance(reply.PlanRevision)
 	}
 	if reply.RegistryRevision > k.revision {
-		g.handle(listed(reply.Targets, reply.RegistryRevision, g.clock.Now()))
-		g.watchers.registry.advance(reply.RegistryRevision)
+		g.handle(news(reply, k.digest, g.clock.Now()))
+		g.watchers.registry.advance(g.known().revision)
 	}
 }
 
@@ -169,6 +169,12 @@
 	if out.RegistryRevision <= r.RegistryRevision {
 		return out, nil
 	}
+	changes, enough := g.book.Since(r.RegistryDigest, r.RegistryRevision)
+	if enough {
+		out.Partial = true
+		out.Changes = believedChanges(changes)
+		return out, nil
+	}
 	for _, t := range g.book.Sure() {
 		out.Targets = append(out.Targets, believed(t))
 	}
@@ -181,6 +187,19 @@
 	return out, nil
 }
 
+func believedChanges(changes []crew.Event) []*peer.BelievedChange {
+	out := make([]*peer.BelievedChange, 0, len(changes))
+	for _, c := range changes {
+		switch c := c.(type) {
+		case crew.Changed:
+			out = append(out, &peer.BelievedChange{Revision: c.Revision, Target: believed(c.Target)})
+		case crew.Removed:
+			out = append(out, &peer.BelievedChange{Revision: c.Revision, Removed: c.ID})
+		}
+	}
+	return out
+}
+
 func believed(t crew.Target) *peer.BelievedTarget {
 	return &peer.BelievedTarget{
 		Id: t.ID(), Born: t.Born(), Address: t.Address(), Place: t.Place(), Service: t.Service(),
@@ -203,16 +222,28 @@
 	return out
 }
 
+// news is a peer's word on the registry: all of it, or what has changed since
+// the digest.
+func news(reply *peer.GetBeliefsReply, digest uint64, now time.Time) crew.Event {
+	if !reply.Partial {
+		return listed(reply.Targets, reply.RegistryRevision, now)
+	}
+	out := crew.CaughtUp{Digest: digest, Revision: reply.RegistryRevision}
+	for _, c := range reply.Changes {
+		if c.Target == nil {
+			out.Changes = append(out.Changes, crew.Removed{At: now, ID: c.Removed, Revision: c.Revision})
+			continue
+		}
+		out.Changes = append(out.Changes, crew.Changed{At: now, Target: targetOf(c.Target), Revision: c.Revision})
+	}
+	return out
+}
+
 // listed is a peer's word on the whole registry.
 func listed(in []*peer.BelievedTarget, revision uint64, now time.Time) crew.Listed {
 	out := crew.Listed{At: now, Revision: revision}
 	for _, b := range in {
-		state := crew.Ready
-		if b.Leaving {
-			state = crew.Leaving
-		}
-		t := crew.NewTarget(b.Id, b.Service, b.Address,
-			crew.WithBorn(b.Born), crew.WithPlace(b.Place), crew.WithSlots(int(b.Slots)), crew.WithState(state))
+		t := targetOf(b)
 		if b.Doubted {
 			out.Doubts = append(out.Doubts, crew.Doubt{Target: t, Left: time.Duration(b.LeftMs) * time.Millisecond})
 			continue
@@ -221,3 +252,12 @@
 	}
 	return out
 }
+
+func targetOf(b *peer.BelievedTarget) crew.Target {
+	state := crew.Ready
+	if b.Leaving {
+		state = crew.Leaving
+	}
+	return crew.NewTarget(b.Id, b.Service, b.Address,
+		crew.WithBorn(b.Born), crew.WithPlace(b.Place), crew.WithSlots(int(b.Slots)), crew.WithState(state))
+}
--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"vanillalug.example/cmd/router/channel"
@@ -53,7 +54,7 @@
 // exchange sends the request to a target and reads the head of its answer.
 func (t *trip) exchange(ctx context.Context, p *post) outcome {
 	now := t.g.clock.Now()
-	conn, err := p.pool.Get(ctx, now, t.connLimit())
+	conn, err := p.pool.Get(ctx, now, channel.Limits{Open: t.connLimit(), Idle: t.idleLimit(now)})
 	if err != nil {
 		return neverSent{cause: err}
 	}
@@ -64,12 +65,14 @@
 	if err != nil {
 		release()
 		conn.Discard()
+		t.noticeDrop(conn, now, err)
 		return noAnswer{cause: err}
 	}
 	response, stray, err := t.readHead(conn) //nolint:bodyclose // finish closes the connection that the body is read from
 	if err != nil {
 		release()
 		conn.Discard()
+		t.noticeDrop(conn, now, err)
 		return noAnswer{cause: err}
 	}
 	o := answered{conn: conn, response: response, answer: platform.ReadAnswer(response), release: release}
@@ -81,6 +84,37 @@
 	return o
 }
 
+// dropTime is how soon a target resets a connection that it has dropped.
+const dropTime = 100 * time.Millisecond
+
+// noticeDrop learns from a connection that was reset as soon as it was used
+// again: its target may have dropped it while it was idle.
+func (t *trip) noticeDrop(conn *channel.Conn, sent time.Time, err error) {
+	now := t.g.clock.Now()
+	reset := errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+	if !reset || !conn.Reused() || now.Sub(sent) > dropTime {
+		return
+	}
+	if t.g.idleLimits.of(t.service).Dropped(conn.Idle(), now) {
+		t.g.log.Info("idle connections are dropped", "request", t.req.ID(), "service", t.service,
+			"target", t.target, "idle", conn.Idle().String())
+	}
+}
+
+// idleLimit is how long a connection may have been idle for this request; 0 is
+// as long as the target says. One that may be dropped is no place for a
+// request that must not be sent again.
+func (t *trip) idleLimit(now time.Time) time.Duration {
+	if t.route.Repeatable() {
+		return 0
+	}
+	limit, known := t.g.idleLimits.of(t.service).Of(now)
+	if !known {
+		return 0
+	}
+	return max(limit, time.Nanosecond)
+}
+
 // connLimit is this router's part of the connections that a target takes.
 func (t *trip) connLimit() int {
 	s, ok := t.plan.Service(t.service)
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -48,7 +48,9 @@
 	memory *fitting.Memory
 	pace   *fitting.Pace
 	budget *allowance.Window
-	peers  *peers
+	// idleLimits are what is learnt of idle connections to targets.
+	idleLimits idleLimits
+	peers      *peers
 	// peerClient sends calls to other routers.
 	peerClient peer.HTTPClient
 	watchers   watchers
--- a/cmd/router/gateway/gateway_test.go
+++ b/cmd/router/gateway/gateway_test.go
@@ -186,6 +186,26 @@
 
 // TestUnreachableTarget: a target that takes no connection costs nobody an
 // answer, and is left alone after the first failure.
+// TestIdleConnectionsAreDropped: once a connection turned out to be dropped, a
+// request that must not be sent again gets no connection that was idle for as
+// long; others still try, as they may be sent again.
+func TestIdleConnectionsAreDropped(t *testing.T) {
+	const idle = 50 * time.Millisecond
+	s := newStation(t)
+	target := s.add(plain, "p1")[0]
+	s.ready(1)
+	target.ForgetAfter(idle)
+	require.Equal(t, 200, s.post("/once/x", "first", "y").status)
+	time.Sleep(2 * idle)
+	require.Equal(t, 502, s.post("/once/x", "lost", "y").status, "nobody knows yet")
+	for i := range 4 {
+		require.Equal(t, 200, s.post("/once/x", name("once", i), "y").status)
+		time.Sleep(2 * idle)
+	}
+	require.Zero(t, runsOf("lost", []*platformtest.Target{target}))
+	require.Contains(t, s.lines.String(), `"@message":"idle connections are dropped"`)
+}
+
 func TestUnreachableTarget(t *testing.T) {
 	s := newStation(t)
 	targets := s.add(plain, "p1", "p2", "p3")
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -23,12 +23,15 @@
 	planWait = 20 * time.Second
 	// feedSlack is how much longer than the wait an answer may take.
 	feedSlack   = 700 * time.Millisecond
-	listTimeout = 1500 * time.Millisecond
+	pageTimeout = 1500 * time.Millisecond
+	// maxReadingTime is how long a table may take to be read; the history of
+	// the store must reach back to the first page.
+	maxReadingTime = 12 * time.Second
 	// feedPause lets changes that come together be read together.
 	feedPause = 250 * time.Millisecond
 	// restTime is how long a router relies on its peers before it asks the
 	// store again, restInterval how often it looks whether it still may.
-	restTime     = 10 * time.Second
+	restTime     = time.Minute
 	restInterval = 250 * time.Millisecond
 	// retryDelay is the first delay after a failed call; it is spread by half.
 	retryDelay    = 120 * time.Millisecond
@@ -49,12 +52,12 @@
 func (g *Gateway) newWatchers() watchers {
 	plan := &watcher{
 		g: g, name: "routing-table", wait: planWait,
-		list: g.store.Plan, feed: g.store.PlanChanges,
+		read: g.store.ReadPlan, feed: g.store.PlanChanges,
 		listed: g.applyPlanRows, fed: g.applyPlanRows,
 	}
 	registry := &watcher{
 		g: g, name: "registry", wait: registryWait,
-		list: g.store.Targets, feed: g.store.TargetChanges,
+		read: g.store.ReadTargets, feed: g.store.TargetChanges,
 		listed: g.applyTargetList, fed: g.applyTargetRows,
 		lost: func(now time.Time) { g.handle(crew.Lost{At: now}) },
 		regained: func(now time.Time) {
@@ -66,12 +69,13 @@
 	return watchers{plan: plan, registry: registry}
 }
 
-// watcher follows one table of the store: a list, then changes since then.
+// watcher follows one table of the store: it is read whole, then changes since
+// then.
 type watcher struct {
 	g        *Gateway
 	name     string
 	wait     time.Duration
-	list     func(context.Context) (platform.Rows, error)
+	read     func() *platform.Reading
 	feed     func(context.Context, uint64, time.Duration) (platform.Rows, error)
 	listed   func(platform.Rows)
 	fed      func(platform.Rows)
@@ -79,6 +83,9 @@
 	regained func(time.Time)
 
 	failures int
+	// reading is a table that is not read to its end yet.
+	reading *platform.Reading
+	begun   time.Time
 
 	mu     sync.Mutex
 	cancel context.CancelCauseFunc
@@ -167,7 +174,7 @@
 func (w *watcher) step(ctx context.Context) (changed bool, err error) {
 	since := w.reach()
 	if since == 0 {
-		return true, w.readList(ctx)
+		return true, w.readTable(ctx)
 	}
 	wait := w.wait
 	if !w.g.onDuty() {
@@ -190,18 +197,40 @@
 	return len(rows.All()) > 0, nil
 }
 
-func (w *watcher) readList(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	rows, err := w.list(ctx)
-	if err != nil {
+// readTable reads the whole table. After a failure the next call goes on at the
+// page that failed, as many routers that all begin again would choke the store.
+func (w *watcher) readTable(ctx context.Context) error {
+	now := w.g.clock.Now()
+	if w.reading == nil || now.Sub(w.begun) > maxReadingTime {
+		w.reading = w.read()
+		w.begun = now
+	}
+	if err := readPages(ctx, w.reading); err != nil {
 		return err
 	}
+	rows := w.reading.Rows()
+	w.reading = nil
 	w.succeeded(rows)
 	w.listed(rows)
 	return nil
 }
 
+// readPages reads the pages that are left.
+func readPages(ctx context.Context, r *platform.Reading) error {
+	for !r.Done() {
+		if err := readPage(ctx, r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readPage(ctx context.Context, r *platform.Reading) error {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return r.Next(ctx)
+}
+
 func (w *watcher) failed(err error) {
 	w.failures++
 	if w.failures > 1 {
--- a/crew/book.go
+++ b/crew/book.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // ReturnTime is how long after the registry's return an entry that lapsed
@@ -16,6 +14,8 @@
 // the caller serializes events.
 type Book struct {
 	targets  map[string]*entry
+	digest   uint64
+	trail    trail
 	revision uint64
 	lost     bool
 	regained time.Time
@@ -38,10 +38,12 @@
 	switch e := e.(type) {
 	case Listed:
 		return b.list(e)
-	case Changed:
-		return b.change(e)
-	case Removed:
-		return b.remove(e)
+	case Changed, Removed:
+		return b.feed(Fed{Changes: []Event{e}})
+	case Fed:
+		return b.feed(e)
+	case CaughtUp:
+		return b.catchUp(e)
 	case Lost:
 		b.lost = true
 	case Regained:
@@ -109,6 +111,7 @@
 		listed[d.Target.id] = true
 		out = append(out, b.doubt(d.Target, e.At.Add(d.Left))...)
 	}
+	b.trail.clear()
 	for _, t := range b.All() {
 		if !listed[t.id] {
 			out = append(out, b.drop(t.id, e.At)...)
@@ -118,27 +121,50 @@
 	return out
 }
 
-func (b *Book) change(e Changed) []Effect {
-	if e.Revision <= b.revision {
-		return nil
+// feed believes the changes that are newer than what was heard before.
+func (b *Book) feed(e Fed) []Effect {
+	var out []Effect
+	start := b.revision
+	for _, c := range e.Changes {
+		revision := revisionOf(c)
+		if revision <= start {
+			continue
+		}
+		before := b.digest
+		b.revision = max(b.revision, revision)
+		out = append(out, b.apply(c)...)
+		if b.digest != before {
+			b.trail.add(before, c)
+		}
 	}
-	b.revision = e.Revision
-	return b.put(e.Target)
+	return out
 }
 
-func (b *Book) remove(e Removed) []Effect {
-	if e.Revision <= b.revision {
+// catchUp believes a peer's changes, unless other news came in between.
+func (b *Book) catchUp(e CaughtUp) []Effect {
+	if e.Digest != b.digest {
 		return nil
 	}
-	b.revision = e.Revision
-	return b.drop(e.ID, e.At)
+	out := b.feed(Fed{Changes: e.Changes})
+	b.revision = max(b.revision, e.Revision)
+	return out
+}
+
+func (b *Book) apply(c Event) []Effect {
+	switch c := c.(type) {
+	case Changed:
+		return b.put(c.Target)
+	case Removed:
+		return b.drop(c.ID, c.At)
+	}
+	return nil
 }
 
 // put believes an entry. A lifetime that was leaving never takes work again.
 func (b *Book) put(t Target) []Effect {
 	old, known := b.targets[t.id]
 	if !known {
-		b.targets[t.id] = &entry{target: t}
+		b.set(&entry{target: t})
 		if t.state == Ready {
 			return []Effect{Joined{Target: t}}
 		}
@@ -146,12 +172,11 @@
 	}
 	before := old.target
 	returned := old.doubted
-	old.doubted = false
 	same := before.Lifetime() == t.Lifetime() && before.address == t.address && before.service == t.service
 	if same && before.state == Leaving {
 		t.state = Leaving
 	}
-	old.target = t
+	b.set(&entry{target: t})
 	switch {
 	case same && before.state == t.state && returned:
 		return []Effect{Returned{Target: t}}
@@ -169,16 +194,3 @@
 	}
 	return out
 }
-
-// Digest is equal for books that believe the same.
-func (b *Book) Digest() uint64 {
-	var sum uint64
-	for _, e := range b.targets {
-		d := xxhash.New()
-		_, _ = d.WriteString(e.target.Lifetime())
-		_, _ = d.WriteString(e.target.address)
-		_, _ = d.Write([]byte{byte(e.target.state)})
-		sum ^= d.Sum64()
-	}
-	return sum
-}
--- a/crew/book_lapse.go
+++ b/crew/book_lapse.go
@@ -42,7 +42,7 @@
 		e.until = until
 		return []Effect{Doubted{Target: e.target, Until: until}}
 	}
-	delete(b.targets, id)
+	b.unset(id)
 	if e.target.state != Ready {
 		return nil
 	}
@@ -70,7 +70,8 @@
 	var out []Effect
 	for id, entry := range b.targets {
 		if entry.doubted && !e.At.Before(entry.until) {
-			delete(b.targets, id)
+			b.trail.clear()
+			b.unset(id)
 			out = append(out, Left{Target: entry.target, Reason: "lapsed"})
 		}
 	}
--- a/crew/event.go
+++ b/crew/event.go
@@ -35,6 +35,21 @@
 	Revision uint64
 }
 
+// Fed are changes that were heard together, in order. Some of them may have the
+// same revision, as one transaction may change several entries.
+type Fed struct {
+	// Changes are of the types Changed and Removed.
+	Changes []Event
+}
+
+// CaughtUp are a peer's changes, which lead from beliefs with the digest to
+// what the peer believes as of the revision.
+type CaughtUp struct {
+	Digest   uint64
+	Changes  []Event
+	Revision uint64
+}
+
 // Lost says that the registry can't be read any more.
 type Lost struct{ At time.Time }
 
@@ -47,6 +62,8 @@
 func (Listed) event()   {}
 func (Changed) event()  {}
 func (Removed) event()  {}
+func (Fed) event()      {}
+func (CaughtUp) event() {}
 func (Lost) event()     {}
 func (Regained) event() {}
 func (Elapsed) event()  {}
--- a/fitting/board.go
+++ b/fitting/board.go
@@ -19,6 +19,10 @@
 	mu    sync.Mutex
 	own   map[Key]Load
 	peers map[string]told
+	// sums are the loads that all peers told together.
+	sums map[Key]Load
+	// oldest is not later than any peer's word.
+	oldest time.Time
 }
 
 type told struct {
@@ -27,25 +31,63 @@
 }
 
 // NewBoard returns a Board without any load.
-func NewBoard() *Board { return &Board{own: map[Key]Load{}, peers: map[string]told{}} }
+func NewBoard() *Board {
+	return &Board{own: map[Key]Load{}, peers: map[string]told{}, sums: map[Key]Load{}}
+}
 
 // Add counts own work at a target; negative numbers take it away.
 func (b *Board) Add(k Key, requests, unread int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	l := b.own[k].Plus(NewLoad(requests, unread))
-	if l == (Load{}) {
-		delete(b.own, k)
+	addTo(b.own, k, NewLoad(requests, unread))
+}
+
+func addTo(loads map[Key]Load, k Key, l Load) {
+	sum := loads[k].Plus(l)
+	if sum == (Load{}) {
+		delete(loads, k)
 		return
 	}
-	b.own[k] = l
+	loads[k] = sum
 }
 
 // Hear replaces what a peer told of its own work.
 func (b *Board) Hear(peer string, loads map[Key]Load, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if len(b.peers) == 0 || now.Before(b.oldest) {
+		b.oldest = now
+	}
+	b.forget(peer)
 	b.peers[peer] = told{at: now, loads: loads}
+	for k, l := range loads {
+		addTo(b.sums, k, l)
+	}
+}
+
+// forget takes away what a peer told.
+func (b *Board) forget(peer string) {
+	for k, l := range b.peers[peer].loads {
+		addTo(b.sums, k, l.Negative())
+	}
+	delete(b.peers, peer)
+}
+
+// forgetBefore takes away what was told before the time.
+func (b *Board) forgetBefore(since time.Time) {
+	if !b.oldest.Before(since) {
+		return
+	}
+	b.oldest = time.Time{}
+	for peer, t := range b.peers {
+		if t.at.Before(since) {
+			b.forget(peer)
+			continue
+		}
+		if b.oldest.IsZero() || t.at.Before(b.oldest) {
+			b.oldest = t.at
+		}
+	}
 }
 
 // Own returns this router's own work.
@@ -64,31 +106,19 @@
 func (b *Board) Loads(keys []Key, since time.Time) []Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.forgetBefore(since)
 	out := make([]Load, len(keys))
 	for i, k := range keys {
-		out[i] = b.own[k]
-	}
-	for peer, t := range b.peers {
-		if t.at.Before(since) {
-			delete(b.peers, peer)
-			continue
-		}
-		for i, k := range keys {
-			out[i] = out[i].Plus(t.loads[k])
-		}
+		out[i] = b.own[k].Plus(b.sums[k])
 	}
 	return out
 }
 
-// Peers returns how many peers were heard since the time.
+// Peers returns how many peers were heard since the time. What a peer told
+// before it is forgotten.
 func (b *Board) Peers(since time.Time) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	n := 0
-	for _, t := range b.peers {
-		if !t.at.Before(since) {
-			n++
-		}
-	}
-	return n
+	b.forgetBefore(since)
+	return len(b.peers)
 }
--- /dev/null
+++ b/fitting/board_test.go
@@ -0,0 +1,89 @@
+package fitting
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"vanillalug.example/lugtest"
+)
+
+// told by peers, added up anew for each question.
+type plainBoard struct {
+	own   map[Key]Load
+	peers map[string]told
+}
+
+func (b *plainBoard) loads(keys []Key, since time.Time) []Load {
+	out := make([]Load, len(keys))
+	for i, k := range keys {
+		out[i] = b.own[k]
+		for _, t := range b.peers {
+			if !t.at.Before(since) {
+				out[i] = out[i].Plus(t.loads[k])
+			}
+		}
+	}
+	return out
+}
+
+// TestBoardAgainstOracle: the sums that a board keeps are those of what is told
+// and still believed.
+func TestBoardAgainstOracle(t *testing.T) {
+	const peers, targets, steps = 6, 5, 60
+	lugtest.Check(t, "300", "1", func(t *rapid.T) {
+		b := NewBoard()
+		plain := &plainBoard{own: map[Key]Load{}, peers: map[string]told{}}
+		keys := make([]Key, targets)
+		for i := range keys {
+			keys[i] = Key(i + 1)
+		}
+		now, since := start, start
+		for range steps {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				k := rapid.SampledFrom(keys).Draw(t, "own")
+				l := NewLoad(rapid.IntRange(-2, 3).Draw(t, "requests"), rapid.IntRange(-9, 9).Draw(t, "unread"))
+				b.Add(k, l.requests, l.unread)
+				plain.own[k] = plain.own[k].Plus(l)
+			case 1:
+				name := strconv.Itoa(rapid.IntRange(1, peers).Draw(t, "peer"))
+				loads := map[Key]Load{}
+				for _, k := range rapid.SliceOfDistinct(rapid.SampledFrom(keys), rapid.ID).Draw(t, "targets") {
+					loads[k] = NewLoad(rapid.IntRange(0, 5).Draw(t, "requests"), rapid.IntRange(0, 9).Draw(t, "unread"))
+				}
+				b.Hear(name, loads, now)
+				plain.peers[name] = told{at: now, loads: loads}
+			case 2:
+				if s := now.Add(-100 * time.Millisecond); s.After(since) {
+					since = s
+				}
+				require.Equal(t, plain.loads(keys, since), b.Loads(keys, since))
+			}
+		}
+	})
+}
+
+// BenchmarkLoads asks for the loads at a large fleet's size.
+func BenchmarkLoads(bench *testing.B) {
+	const peers, targets, used = 300, 3000, 20
+	b := NewBoard()
+	keys := make([]Key, targets)
+	for i := range keys {
+		keys[i] = Key(i)
+	}
+	for i := range peers {
+		loads := map[Key]Load{}
+		for j := range used {
+			loads[Key((i*used+j)%targets)] = NewLoad(1, 100)
+		}
+		b.Hear(strconv.Itoa(i), loads, start)
+	}
+	for bench.Loop() {
+		b.Loads(keys, start)
+	}
+}
--- a/fitting/load.go
+++ b/fitting/load.go
@@ -20,3 +20,6 @@
 func (l Load) Plus(m Load) Load {
 	return Load{requests: l.requests + m.requests, unread: l.unread + m.unread}
 }
+
+// Negative returns the load with its sign changed.
+func (l Load) Negative() Load { return Load{requests: -l.requests, unread: -l.unread} }
