Resting routers ask the store less, placements are told less often, a started router recalls them

They rest after any answer now, and ask only for what is behind.

A placement that somebody told within 3 s is not told again.

--- a/cmd/router/gateway/beliefs_test.go
+++ b/cmd/router/gateway/beliefs_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
 	"vanillalug.example/platform/platformtest"
 )
@@ -136,6 +137,24 @@
 	}, 2*time.Second, tick, "the bound for a leaving target")
 }
 
+// TestRecall: a router that starts beside others learns from one of them which
+// engines hold which prompts.
+func TestRecall(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	store.PutJSON("op", "config", platformtest.Plan(1, []string{testKey}, routes()...))
+	a := newStationAt(t, store, "a")
+	a.add(prompts, "e1")
+	a.ready(1)
+	holder := fitting.KeyOf("e1/1")
+	a.g.memory.Note(fitting.Placement{Prompt: 7, Target: holder}, time.Now())
+	b := newStationAt(t, store, "b", netip.MustParseAddrPort(a.g.cfg.PeerAddress))
+	require.Eventually(t, func() bool {
+		return b.g.memory.Held(7, []fitting.Key{holder}, time.Now())[0]
+	}, soon, tick)
+	require.Contains(t, b.lines.String(), `"@message":"placements recalled"`)
+}
+
 // TestPeersTellChanges: a peer that is a little behind is told what changed, and
 // one whose beliefs are not known is told of every target.
 func TestPeersTellChanges(t *testing.T) {
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -36,7 +36,11 @@
 
 // behind reports whether a peer knows something newer.
 func (k knowledge) behind(a ahead) bool {
-	return a.version > k.version || a.revision > k.revision && a.digest != k.digest
+	return a.version > k.version || k.registryBehind(a)
+}
+
+func (k knowledge) registryBehind(a ahead) bool {
+	return a.revision > k.revision && a.digest != k.digest
 }
 
 func (g *Gateway) known() knowledge {
@@ -76,11 +80,9 @@
 			continue
 		}
 		g.askPeer(ctx, a.from, false)
-		if !g.known().behind(a) {
+		if !g.askStore(a) {
 			continue
 		}
-		g.watchers.plan.interrupt()
-		g.watchers.registry.interrupt()
 		sleep(ctx, storeTime)
 		if g.known().behind(a) {
 			g.askPeer(ctx, a.from, true)
@@ -88,6 +90,19 @@
 	}
 }
 
+// askStore asks the store at once for what a peer knows beyond this router. It
+// reports whether there is any.
+func (g *Gateway) askStore(a ahead) bool {
+	k := g.known()
+	if a.version > k.version {
+		g.watchers.plan.interrupt()
+	}
+	if k.registryBehind(a) {
+		g.watchers.registry.interrupt()
+	}
+	return k.behind(a)
+}
+
 // mostAhead returns the peer that knows most beyond what is known here.
 func (p *peers) mostAhead(k knowledge) (best ahead, found bool) {
 	p.mu.Lock()
@@ -122,13 +137,7 @@
 // gets no long routing table.
 func (g *Gateway) askPeer(ctx context.Context, address netip.AddrPort, insist bool) {
 	k := g.known()
-	ctx, cancel := context.WithTimeout(ctx, beliefsTimeout)
-	defer cancel()
-	client := peer.NewBeliefsProtobufClient("http://"+address.String(), g.peerClient)
-	reply, err := client.GetBeliefs(ctx, &peer.GetBeliefsRequest{
-		PlanVersion: k.version, RegistryRevision: k.revision, RegistryDigest: k.digest,
-		From: &peer.RouterAddress{Name: g.cfg.Name, Address: g.cfg.PeerAddress}, Insist: insist,
-	})
+	reply, err := g.beliefsOf(ctx, address, k, &peer.GetBeliefsRequest{Insist: insist})
 	if err != nil {
 		g.log.Warn("a peer did not tell what it knows", "peer", address.String(), "version", k.version,
 			"revision", k.revision, "error", err)
@@ -147,6 +156,18 @@
 	}
 }
 
+// beliefsOf asks a peer for what it knows beyond k.
+func (g *Gateway) beliefsOf(
+	ctx context.Context, address netip.AddrPort, k knowledge, r *peer.GetBeliefsRequest,
+) (*peer.GetBeliefsReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, beliefsTimeout)
+	defer cancel()
+	r.PlanVersion, r.RegistryRevision, r.RegistryDigest = k.version, k.revision, k.digest
+	r.From = &peer.RouterAddress{Name: g.cfg.Name, Address: g.cfg.PeerAddress}
+	client := peer.NewBeliefsProtobufClient("http://"+address.String(), g.peerClient)
+	return client.GetBeliefs(ctx, r)
+}
+
 // GetBeliefs implements peer.Beliefs.
 func (g *Gateway) GetBeliefs(_ context.Context, r *peer.GetBeliefsRequest) (*peer.GetBeliefsReply, error) {
 	out := &peer.GetBeliefsReply{From: g.cfg.Name}
@@ -160,6 +181,9 @@
 			out.PlanRevision = p.revision
 		}
 	}
+	for _, p := range g.memory.Newest(int(min(r.Placements, maxRecalled)), g.clock.Now()) {
+		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
+	}
 	for name, a := range g.peers.all() {
 		out.Routers = append(out.Routers, &peer.RouterAddress{Name: name, Address: a.String()})
 	}
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -106,6 +106,7 @@
 	go g.announce(ctx)
 	go g.catchUp(ctx)
 	go g.askSeeds(ctx)
+	go g.recall(ctx)
 	stops := []func(){
 		g.clock.Every(shareInterval, g.shareLoads),
 		g.clock.Every(tidyInterval, g.tidy),
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -97,7 +97,7 @@
 	now := g.clock.Now()
 	g.board.Hear(s.From, loads, now)
 	for _, p := range s.Placements {
-		g.memory.Note(fitting.Placement{Prompt: p.Prompt, Target: fitting.Key(p.Target)}, now)
+		g.memory.Hear(fitting.Placement{Prompt: p.Prompt, Target: fitting.Key(p.Target)}, now)
 	}
 	a := ahead{
 		from: from, version: s.PlanVersion, revision: s.RegistryRevision, digest: s.RegistryDigest,
--- a/cmd/router/gateway/trip.go
+++ b/cmd/router/gateway/trip.go
@@ -137,8 +137,9 @@
 	}
 	now := t.g.clock.Now()
 	placement := fitting.Placement{Prompt: prompt, Target: p.key}
-	t.g.memory.Note(placement, now)
-	t.g.peers.place(placement, now)
+	if t.g.memory.Note(placement, now) {
+		t.g.peers.place(placement, now)
+	}
 }
 
 // blame counts a failure of the target.
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -146,7 +146,7 @@
 		meter.ObserveBy("store_failure", w.g.clock.Now().Sub(start), "table", w.name)
 		w.failed(err)
 		sleep(ctx, w.delay())
-	case changed:
+	case changed && w.g.onDuty():
 		sleep(call, feedPause)
 	default:
 		w.rest(call)
--- a/fitting/fitting_test.go
+++ b/fitting/fitting_test.go
@@ -247,6 +247,20 @@
 	require.Equal(t, []bool{false, false}, m.Held(16, []Key{a, c}, start.Add(holderTime+1)))
 }
 
+// TestTellNow: peers are told of a placement at once, and of the same one again
+// only when nobody did so for a while.
+func TestTellNow(t *testing.T) {
+	m := NewMemory()
+	p := Placement{Prompt: 16, Target: 1}
+	require.True(t, m.Note(p, start))
+	require.False(t, m.Note(p, start.Add(tellInterval-1)))
+	require.True(t, m.Note(Placement{Prompt: 16, Target: 2}, start), "another target")
+	require.True(t, m.Note(p, start.Add(tellInterval)))
+	m.Hear(p, start.Add(tellInterval+time.Second))
+	require.False(t, m.Note(p, start.Add(2*tellInterval)), "a peer told it")
+	require.True(t, m.Note(p, start.Add(2*tellInterval+time.Second)))
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	m := NewMemory()
 	for i := range uint64(shardPrompts + 10) {
--- a/fitting/replay_test.go
+++ b/fitting/replay_test.go
@@ -206,12 +206,13 @@
 	e.cached[prompt] = true
 	e.running++
 	router.board.Add(e.key, 1, unread)
-	router.memory.Note(Placement{Prompt: key, Target: e.key}, r.time())
-	r.after(replayShare, func() {
-		for _, peer := range r.routers {
-			peer.memory.Note(Placement{Prompt: key, Target: e.key}, r.time())
-		}
-	})
+	if router.memory.Note(Placement{Prompt: key, Target: e.key}, r.time()) {
+		r.after(replayShare, func() {
+			for _, peer := range r.routers {
+				peer.memory.Hear(Placement{Prompt: key, Target: e.key}, r.time())
+			}
+		})
+	}
 	read := time.Duration(unread/prefillRate) * time.Millisecond
 	r.after(read, func() { router.board.Add(e.key, 0, -unread) })
 	r.after(read+replayStay, func() {
