After a restart of all routers, seeds ask the engines what they have cached

Change: a router that starts asks the seeds for placements. Where no seed knows those from before its own start, a seed asks each engine for what it keeps (one call an engine and seed), and the others hear it from there. Where no seed is there, the first router of the common order asks. The key of a prompt is that of its last shared part now, as engines name parts.

--- a/cmd/router/gateway/beliefs_test.go
+++ b/cmd/router/gateway/beliefs_test.go
@@ -148,6 +148,7 @@
 	a.ready(1)
 	holder := fitting.KeyOf("e1/1")
 	a.g.memory.Note(fitting.Placement{Prompt: 7, Target: holder}, time.Now())
+	a.g.settled.Store(true)
 	b := newStationAt(t, store, "b", netip.MustParseAddrPort(a.g.cfg.PeerAddress))
 	require.Eventually(t, func() bool {
 		return b.g.memory.Held(7, []fitting.Key{holder}, time.Now())[0]
@@ -155,6 +156,29 @@
 	require.Contains(t, b.lines.String(), `"@message":"placements recalled"`)
 }
 
+// TestEnginesAreAsked: where all routers were restarted, a seed asks the engines
+// what they have cached, and tells the others.
+func TestEnginesAreAsked(t *testing.T) {
+	const part = 0xa1
+	store := platformtest.NewStore()
+	defer store.Close()
+	store.PutJSON("op", "config", platformtest.Plan(1, []string{testKey}, routes()...))
+	a := newStationAt(t, store, "a")
+	seed := netip.MustParseAddrPort(a.g.cfg.PeerAddress)
+	a.g.SetSeeds([]netip.AddrPort{seed})
+	b := newStationAt(t, store, "b", seed)
+	engine := a.add(prompts, "e1")[0]
+	engine.Keep("m", part, 1000)
+	engine.Keep("m", 0xa2, minCached-1)
+	for _, s := range []*station{a, b} {
+		require.Eventually(t, func() bool {
+			return s.g.memory.Held(fitting.PromptKey("m", part), []fitting.Key{fitting.KeyOf("e1/1")}, time.Now())[0]
+		}, soon, tick)
+	}
+	require.Len(t, b.g.memory.Newest(maxRecalled, time.Now()), 1, "short parts are not worth it")
+	require.Equal(t, 1, engine.Lists(), "only the seed asks")
+}
+
 // TestPeersTellChanges: a peer that is a little behind is told what changed, and
 // one whose beliefs are not known is told of every target.
 func TestPeersTellChanges(t *testing.T) {
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -181,8 +181,9 @@
 			out.PlanRevision = p.revision
 		}
 	}
-	for _, p := range g.memory.Newest(int(min(r.Placements, maxRecalled)), g.clock.Now()) {
-		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
+	if r.Placements > 0 {
+		g.tellPlacements(out, min(r.Placements, maxRecalled))
+		return out, nil
 	}
 	for name, a := range g.peers.all() {
 		out.Routers = append(out.Routers, &peer.RouterAddress{Name: name, Address: a.String()})
@@ -211,6 +212,17 @@
 	return out, nil
 }
 
+// tellPlacements answers a router that has just started.
+func (g *Gateway) tellPlacements(out *peer.GetBeliefsReply, limit uint32) {
+	out.Settled = g.settled.Load()
+	if !out.Settled {
+		return
+	}
+	for _, p := range g.memory.Newest(int(limit), g.clock.Now()) {
+		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
+	}
+}
+
 func believedChanges(changes []crew.Event) []*peer.BelievedChange {
 	out := make([]*peer.BelievedChange, 0, len(changes))
 	for _, c := range changes {
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -65,8 +65,10 @@
 	registry atomic.Pointer[knowledge]
 
 	stopping atomic.Bool
-	open     atomic.Int64
-	seed     atomic.Uint64
+	// settled says that the placements from before the start are known.
+	settled atomic.Bool
+	open    atomic.Int64
+	seed    atomic.Uint64
 }
 
 // planned is the routing table in force with the text that it was read from,
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -124,19 +124,6 @@
 	return out
 }
 
-// any returns the address of a peer that was heard lately.
-func (p *peers) any() (address netip.AddrPort, found bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	since := p.clock.Now().Add(-p.freshness())
-	for name, r := range p.known {
-		if _, spoke := p.ahead[name]; spoke && r.heard.After(since) {
-			return r.address, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
 // setSeeds sets the addresses that are asked while nothing is known.
 func (p *peers) setSeeds(seeds []netip.AddrPort) {
 	p.mu.Lock()
--- a/fitting/work.go
+++ b/fitting/work.go
@@ -58,13 +58,13 @@
 	if len(shared) == 0 {
 		return 0, false
 	}
-	key := uint64(KeyOf(w.model))
-	for _, p := range shared {
-		key = mix(key ^ p.id)
-	}
-	return key, true
+	return PromptKey(w.model, shared[len(shared)-1].id), true
 }
 
+// PromptKey returns the key of prompts that share the parts up to the one with
+// the id. An id names a content, so the parts before it need not be counted in.
+func PromptKey(model string, part uint64) uint64 { return mix(uint64(KeyOf(model)) ^ part) }
+
 func (w Work) shared() []Part {
 	if len(w.parts) < 2 {
 		return nil
--- a/rota/rota.go
+++ b/rota/rota.go
@@ -36,6 +36,15 @@
 	if following < minFollowers {
 		return true
 	}
+	names := order(self, heard)
+	return slices.Index(names, self) < duty(len(names))
+}
+
+// First returns the first router of the common order.
+func First(self string, heard []Peer) string { return order(self, heard)[0] }
+
+// order returns the names in an order that all routers share.
+func order(self string, heard []Peer) []string {
 	names := []string{self}
 	for _, p := range heard {
 		names = append(names, p.Name)
@@ -43,7 +52,7 @@
 	slices.SortFunc(names, func(a, b string) int {
 		return cmp.Or(cmp.Compare(vanillalug.NameKey(a), vanillalug.NameKey(b)), cmp.Compare(a, b))
 	})
-	return slices.Index(names, self) < duty(len(names))
+	return names
 }
 
 // duty is how many of the routers follow the store; it grows with the
