Refuse what would begin late; returns follow the age of the crowd

Change: a request may wait for half of its goal, less by the square of its rank, and is refused at once beyond. Callers are told to come back after half of the time for which requests have been turned away, at most a third of what they have left, which they heed.

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"vanillalug.example/fitting"
 )
@@ -11,6 +12,28 @@
 func (t *trip) choose() (*post, *refusal) {
 	now := t.g.clock.Now()
 	posts := t.g.targets.Load().byService[t.service]
+	candidates := t.candidates(posts, now)
+	q := t.question(now)
+	switch v := fitting.Choose(q, candidates).(type) {
+	case fitting.Chosen:
+		t.choice = describe(candidates, v.Index)
+		t.copyFrom = ""
+		if v.Source != fitting.NoSource {
+			t.copyFrom = posts[v.Source].target.Address()
+			t.choice += " source=" + posts[v.Source].target.Lifetime()
+		}
+		return posts[v.Index], nil
+	case fitting.Full:
+		t.g.crowd.TurnedAway(t.service, now)
+		t.detail = fmt.Sprintf("pace=%s left=%s goal=%s crowded=%s total=%d of=%d",
+			q.Pace, q.Left, q.Goal, q.Crowded, total(candidates), len(candidates))
+		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: v.Return}
+	}
+	return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: fullRetry}
+}
+
+// candidates are the targets with what is known of them.
+func (t *trip) candidates(posts []*post, now time.Time) []fitting.Candidate {
 	keys := make([]fitting.Key, len(posts))
 	for i, p := range posts {
 		keys[i] = p.key
@@ -20,34 +43,27 @@
 	if prompt, ok := t.req.Work().Key(); ok {
 		held = t.g.memory.Held(prompt, keys, now)
 	}
-	candidates := make([]fitting.Candidate, len(posts))
+	out := make([]fitting.Candidate, len(posts))
 	for i, p := range posts {
-		candidates[i] = fitting.Candidate{
+		out[i] = fitting.Candidate{
 			Target: p.target, Load: loads[i], Held: held[i], Suspect: p.suspect(now), Tried: t.tried[p.key],
 		}
 	}
+	return out
+}
+
+// question is what a target is chosen for.
+func (t *trip) question(now time.Time) fitting.Question {
 	q := fitting.Question{
-		Work: t.req.Work(), Place: t.g.cfg.Place, Pace: t.g.pace.Of(t.service), Left: t.deadline.Sub(now),
+		Work: t.req.Work(), Place: t.g.cfg.Place, Pace: t.g.pace.Of(t.service),
+		Left: t.deadline.Sub(now), Goal: t.route.Objective(), Crowded: t.g.crowd.Age(t.service, now),
 		Priority: t.priority, Random: t.g.seed.Add(1),
 	}
 	if s, ok := t.plan.Service(t.service); ok && s.Engine() != nil {
 		q.Slots = s.Engine().Slots()
 		q.CopyRate = s.Engine().CopyRate()
 	}
-	switch v := fitting.Choose(q, candidates).(type) {
-	case fitting.Chosen:
-		t.choice = describe(candidates, v.Index)
-		t.copyFrom = ""
-		if v.Source != fitting.NoSource {
-			t.copyFrom = posts[v.Source].target.Address()
-			t.choice += " source=" + posts[v.Source].target.Lifetime()
-		}
-		return posts[v.Index], nil
-	case fitting.Full:
-		t.detail = fmt.Sprintf("pace=%s left=%s total=%d of=%d", q.Pace, q.Left, total(candidates), len(candidates))
-		return nil, &refusal{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: v.Return}
-	}
-	return nil, &refusal{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: fullRetry}
+	return q
 }
 
 // describe says in the logs what was known at a choice.
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -47,6 +47,7 @@
 	board  *fitting.Board
 	memory *fitting.Memory
 	pace   *fitting.Pace
+	crowd  *fitting.Crowd
 	budget *allowance.Window
 	// idleLimits are what is learnt of idle connections to targets.
 	idleLimits idleLimits
@@ -88,6 +89,7 @@
 		board:  fitting.NewBoard(),
 		memory: fitting.NewMemory(),
 		pace:   fitting.NewPace(),
+		crowd:  fitting.NewCrowd(),
 		budget: allowance.NewWindow(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
 		book:   crew.NewBook(),
 	}
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -23,12 +23,6 @@
 	readWeight = 10
 	// requestCost is what a request slows the others beside it, in milliseconds.
 	requestCost = 5
-	// maxQueue is the multiple of its slots that may wait at a target; more of
-	// them are shed by the target itself.
-	maxQueue = 4
-	// minReturn and maxReturn bound when a refused caller may come back.
-	minReturn = 200 * time.Millisecond
-	maxReturn = 3 * time.Second
 )
 
 // Candidate is a target with its load.
@@ -56,6 +50,10 @@
 	Pace time.Duration
 	// Left is how long the caller still waits.
 	Left time.Duration
+	// Goal is the time within which an answer should begin; 0 is not said.
+	Goal time.Duration
+	// Crowded is for how long requests of the service have been turned away.
+	Crowded time.Duration
 	// Priority is the rank of the request; 0 is the most urgent.
 	Priority int
 	// Random breaks ties.
@@ -115,39 +113,6 @@
 	return chooseIdle(q, all, left)
 }
 
-// turnAway answers more load than the targets can serve in time, such as a
-// burst while half of them are lost: a request that would wait in vain is
-// refused at once, the less urgent ones first, so that the others are served.
-func turnAway(q Question, all []Candidate, left []int) (Full, bool) {
-	least := slices.MinFunc(left, func(a, b int) int { return cmp.Compare(waiting(q, all[a]), waiting(q, all[b])) })
-	queued, slots := waiting(q, all[least]), q.slotsOf(all[least])
-	if queued <= 0 || slots == 0 {
-		return Full{}, false
-	}
-	wait := q.Pace * time.Duration(queued) / time.Duration(slots)
-	patience := q.Left / time.Duration(1+max(q.Priority, 0))
-	if wait <= patience && queued <= maxQueue*slots {
-		return Full{}, false
-	}
-	return Full{Return: spread(min(max(wait/2, minReturn), maxReturn), q.Random)}, true
-}
-
-// waiting is how many requests would wait for a slot, this one included.
-func waiting(q Question, c Candidate) int { return c.Load.requests + 1 - q.slotsOf(c) }
-
-func (q Question) slotsOf(c Candidate) int {
-	if q.Slots > 0 {
-		return q.Slots
-	}
-	return c.Target.Slots()
-}
-
-// spread moves a time by up to a quarter either way, so that callers who were
-// refused together do not return together.
-func spread(d time.Duration, random uint64) time.Duration {
-	return d*3/4 + time.Duration(mix(random)%uint64(d/2))
-}
-
 // chooseCached picks the engine that costs least: what waits there already,
 // and the shared prompt where it must be read.
 func chooseCached(q Question, key uint64, all []Candidate, left []int) Verdict {
