The header time of the routing table holds for the first header of a connection

It was a fixed 5 s. A later header on the same connection is bounded by the idle time, as net/http tells of a connection's change only once a header was read.

--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -21,16 +21,16 @@
 )
 
 const (
-	// entryHeaderTimeout is how long a caller may take for a header.
-	entryHeaderTimeout = 5 * time.Second
-	// entryIdleTimeout holds until the routing table says a time.
-	entryIdleTimeout = 10 * time.Minute
-	entryMaxHeader   = 64 << 10
-	entryMaxConns    = 2000
-	storeConnect     = 500 * time.Millisecond
-	peerConnect      = 400 * time.Millisecond
-	peerPool         = 10 * time.Second
-	storeKeepAlive   = time.Second
+	// entryHeaderTimeout and entryIdleTimeout hold until the routing table says
+	// shorter times.
+	entryHeaderTimeout = 30 * time.Second
+	entryIdleTimeout   = 10 * time.Minute
+	entryMaxHeader     = 64 << 10
+	entryMaxConns      = 2000
+	storeConnect       = 500 * time.Millisecond
+	peerConnect        = 400 * time.Millisecond
+	peerPool           = 10 * time.Second
+	storeKeepAlive     = time.Second
 	// memoryShare is the part of the memory at which the collector works harder.
 	memoryShare = 0.7
 	gcPercent   = 60
@@ -91,7 +91,7 @@
 func listenDeployment(cfg *settings.Deployment, g *gateway.Gateway) (*reception.Server, chan error, error) {
 	entry, err := reception.NewServer("entry", cfg.Entry(), reception.WithHandler(g),
 		reception.WithMaxHeaderBytes(entryMaxHeader), reception.WithMaxConns(entryMaxConns),
-		reception.WithTimeouts(entryHeaderTimeout, entryIdleTimeout), reception.WithIdleLimit(g.IdleLimit))
+		reception.WithTimeouts(entryHeaderTimeout, entryIdleTimeout), reception.WithConnLimits(g))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -131,6 +131,15 @@
 	return !g.stopping.Load() && g.plan.Load() != nil && len(g.targets.Load().byLifetime) > 0
 }
 
+// HeaderLimit returns how long a caller may take for a header; 0 is not known.
+func (g *Gateway) HeaderLimit() time.Duration {
+	p := g.plan.Load()
+	if p == nil {
+		return 0
+	}
+	return p.plan.Limits().HeaderTimeout()
+}
+
 // IdleLimit returns how long a caller's connection may be idle; 0 is not known.
 func (g *Gateway) IdleLimit() time.Duration {
 	p := g.plan.Load()
--- a/reception/server.go
+++ b/reception/server.go
@@ -40,7 +40,7 @@
 	idleTimeout    time.Duration
 	maxConns       int
 	handler        http.Handler
-	idle           *idleGuard
+	guard          *connGuard
 }
 
 // ServerOption changes a new Server.
@@ -62,10 +62,9 @@
 	return func(o *serverOptions) { o.headerTimeout, o.idleTimeout = header, idle }
 }
 
-// WithIdleLimit closes connections that are idle for longer than the limit,
-// which is asked for each time; 0 is none.
-func WithIdleLimit(limit func() time.Duration) ServerOption {
-	return func(o *serverOptions) { o.idle = newIdleGuard(limit) }
+// WithConnLimits closes connections that keep the server waiting for longer.
+func WithConnLimits(limits ConnLimits) ServerOption {
+	return func(o *serverOptions) { o.guard = newConnGuard(limits) }
 }
 
 // WithHandler sends every request to the handler, whatever its host and path.
@@ -156,8 +155,8 @@
 }
 
 func (s *Server) count(c net.Conn, state http.ConnState) {
-	if s.opts.idle != nil {
-		s.opts.idle.watch(c, state)
+	if s.opts.guard != nil {
+		s.opts.guard.watch(c, state)
 	}
 	switch state {
 	case http.StateNew:
