--- a/cmd/router/gateway/cached.go
+++ b/cmd/router/gateway/cached.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -18,14 +20,16 @@
 	// cachedTimeout bounds the question to one engine.
 	cachedTimeout = 500 * time.Millisecond
 	// maxCachedCalls is how many engines are asked at once.
-	maxCachedCalls = 8
+	maxCachedCalls = 4
+	// maxAsked is how many engines of a service one router asks.
+	maxAsked = 150
 	// minCached is the shortest part that is worth to be remembered, in tokens.
 	minCached = 512
 	// maxCachedAnswer bounds what is read of an answer, in bytes.
 	maxCachedAnswer = 1 << 20
 )
 
-// askEngines asks every engine what it has cached.
+// askEngines asks the engines what they have cached; of very many, some of them.
 func (g *Gateway) askEngines(ctx context.Context) {
 	p := g.plan.Load()
 	if p == nil {
@@ -37,7 +41,7 @@
 		if s, ok := p.plan.Service(service); !ok || s.Engine() == nil {
 			continue
 		}
-		for _, p := range posts {
+		for _, p := range sample(posts, maxAsked) {
 			calls.Go(func() error {
 				g.askEngine(ctx, p)
 				return nil
@@ -49,6 +53,16 @@
 	}
 }
 
+// sample returns so many of the posts at most, at random.
+func sample(posts []*post, most int) []*post {
+	if len(posts) <= most {
+		return posts
+	}
+	out := slices.Clone(posts)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:most]
+}
+
 func (g *Gateway) askEngine(ctx context.Context, p *post) {
 	held, err := g.cachedAt(ctx, p)
 	if err != nil {
