--- a/Makefile
+++ b/Makefile
@@ -44,8 +44,10 @@
 slopes: build
 	$(BIN)/measure slopes -bin $(BIN)
 
-# Measures latency, throughput and memory of one router and a relay.
+# Measures what a request, an event and an open stream cost, on the platform and
+# by our own interface.
 bench: build
+	$(BIN)/measure gateway -bin $(BIN)
 	$(BIN)/measure path -bin $(BIN)
 
 # Shows that the tests fail for code that is wrong on purpose.
--- a/cmd/demo/stage/usage.go
+++ b/cmd/demo/stage/usage.go
@@ -20,11 +20,13 @@
 }
 
 // Usage reads what the process has used.
-func (p *Process) Usage() (Usage, error) {
-	pid := p.cmd.Process.Pid
+func (p *Process) Usage() (Usage, error) { return ReadUsage(p.cmd.Process.Pid) }
+
+// ReadUsage reads what the process of an id has used.
+func ReadUsage(pid int) (Usage, error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
-		return Usage{}, fmt.Errorf("Process.Usage: %w", err)
+		return Usage{}, fmt.Errorf("ReadUsage: %w", err)
 	}
 	// The fields after the name in brackets start with the third one.
 	_, rest, _ := strings.Cut(string(stat), ") ")
@@ -33,7 +35,7 @@
 	for _, f := range fields[11:13] {
 		n, err := strconv.Atoi(f)
 		if err != nil {
-			return Usage{}, fmt.Errorf("Process.Usage: %w", err)
+			return Usage{}, fmt.Errorf("ReadUsage: %w", err)
 		}
 		ticks += n
 	}
--- /dev/null
+++ b/cmd/measure/gateway/stage.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	"vanillalug.example/cmd/soak/fleet"
+	"vanillalug.example/platform/platformtest"
+)
+
+const (
+	key       = "key-1"
+	plain     = "booking"
+	models    = "models"
+	readyTime = 15 * time.Second
+	readyTick = 50 * time.Millisecond
+	maxConns  = 2 * streamStep * streamSteps
+	// timeout is that of the routes, in milliseconds.
+	timeout = 120000
+)
+
+// measured is a fleet with a store and a target of each kind.
+type measured struct {
+	store   *platformtest.Store
+	engine  *platformtest.Target
+	targets []*platformtest.Target
+	routers []*fleet.Router
+}
+
+func newStage(bin, dir string, routers int) (*measured, error) {
+	s := &measured{store: platformtest.NewStore()}
+	plan := platformtest.Plan(1, []string{key},
+		platformtest.Route{Prefix: "/safe/", Kind: platformtest.Idempotent, Service: plain, Attempts: 1, TimeoutMS: timeout},
+		platformtest.Route{Prefix: "/stream/", Kind: platformtest.Streaming, Service: models, Attempts: 1, TimeoutMS: timeout},
+	)
+	for _, service := range plan["services"].([]map[string]any) {
+		service["max_connections"] = maxConns
+	}
+	s.store.PutJSON("op", "config", plan)
+	for _, service := range []string{plain, models} {
+		t, err := platformtest.NewTarget(service+"-1", service, service == models)
+		if err != nil {
+			return nil, err
+		}
+		s.targets = append(s.targets, t)
+		s.engine = t
+		entry := t.Entry("ready")
+		entry["slots"] = streamStep * streamSteps
+		s.store.PutJSON("servers", t.ID, entry)
+	}
+	for i := range routers {
+		r, err := fleet.NewRouter(bin, dir, fmt.Sprintf("r%d", i), s.store.Address())
+		if err != nil {
+			return nil, err
+		}
+		s.routers = append(s.routers, r)
+		if err := r.Run(); err != nil {
+			return nil, err
+		}
+	}
+	return s, s.awaitReady()
+}
+
+func (s *measured) awaitReady() error {
+	end := time.Now().Add(readyTime)
+	for _, r := range s.routers {
+		for !r.Ready() {
+			if time.Now().After(end) {
+				return fmt.Errorf("%s is not ready after %s", r.Name, readyTime)
+			}
+			time.Sleep(readyTick)
+		}
+	}
+	return nil
+}
+
+func (s *measured) end() {
+	for _, r := range s.routers {
+		r.End()
+	}
+	for _, t := range s.targets {
+		t.Close()
+	}
+	s.store.Close()
+}
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -16,6 +16,7 @@
     measure slopes    [flags]   measures what docs/CAPACITY.md is worked from
     measure path      [flags]   measures latency, throughput and memory
     measure fleet     [flags]   measures a fleet of today's size as processes
+    measure gateway   [flags]   measures a router on the platform
 
 `
 
@@ -34,6 +35,8 @@
 		err = runFleet(flags, os.Args[2:])
 	case "slopes":
 		err = runSlopes(flags, os.Args[2:])
+	case "gateway":
+		err = runGateway(flags, os.Args[2:])
 	case "path":
 		err = runPath(flags, os.Args[2:])
 	default:
--- a/cmd/soak/fleet/router.go
+++ b/cmd/soak/fleet/router.go
@@ -130,6 +130,16 @@
 	_ = r.process.Signal(s)
 }
 
+// PID returns the id of the process, or false where none runs.
+func (r *Router) PID() (pid int, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.process == nil {
+		return 0, false
+	}
+	return r.process.Pid, true
+}
+
 // OwnEnds returns how often the process ended without being told to.
 func (r *Router) OwnEnds() int {
 	r.mu.Lock()
