--- a/cmd/router/gateway/harness_test.go
+++ b/cmd/router/gateway/harness_test.go
@@ -41,7 +41,7 @@
 
 // station is one router with a store and targets, all on the loopback interface.
 type station struct {
-	t     *testing.T
+	t     testing.TB
 	store *platformtest.Store
 	g     *Gateway
 	entry *httptest.Server
@@ -81,13 +81,13 @@
 }
 
 // newStation starts a router whose store has the routes and no targets.
-func newStation(t *testing.T) *station {
+func newStation(t testing.TB) *station {
 	store := platformtest.NewStore()
 	store.PutJSON("op", "config", platformtest.Plan(1, []string{testKey}, routes()...))
 	return newStationAt(t, store, "r1")
 }
 
-func newStationAt(t *testing.T, store *platformtest.Store, name string, seeds ...netip.AddrPort) *station {
+func newStationAt(t testing.TB, store *platformtest.Store, name string, seeds ...netip.AddrPort) *station {
 	s := &station{t: t, store: store, lines: &lines{}}
 	log := hclog.New(&hclog.LoggerOptions{Output: s.lines, JSONFormat: true})
 	if os.Getenv("VANILLALUG_LOG") != "" {
@@ -116,7 +116,7 @@
 }
 
 // servePeers answers the calls of peers at the router's own address.
-func servePeers(t *testing.T, g *Gateway) (end func()) {
+func servePeers(t testing.TB, g *Gateway) (end func()) {
 	l, err := net.Listen("tcp4", g.cfg.PeerAddress)
 	require.NoError(t, err)
 	server := &http.Server{Handler: peer.NewBeliefsServer(g)}
@@ -124,7 +124,7 @@
 	return func() { _ = server.Close() }
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
