Routers tell each other of failing targets

Change: datagrams name the targets at which the sender has failed in the last 1.2 s without a success since. A target is left out when three routers or more failed there within 2 s, and a quarter of the sends that it is reckoned to get; never more than half of a service. A line when that begins and ends.

--- a/allowance/window.go
+++ b/allowance/window.go
@@ -40,17 +40,33 @@
 	u.requests[u.at%windowBuckets]++
 }
 
-// Spend reports whether a repeated send to the service is allowed, and counts
-// it. The number of routers shares the extra.
-func (w *Window) Spend(service string, routers int, now time.Time) bool {
+// Requests returns how many requests for the service were counted within the
+// length of a span.
+func (w *Window) Requests(service string, now time.Time) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	u := w.usage(service, now)
-	requests, repeats := 0, 0
+	requests, _ := w.usage(service, now).sums()
+	return requests
+}
+
+// Length returns the length of the spans.
+func (w *Window) Length() time.Duration { return w.step * windowBuckets }
+
+func (u *usage) sums() (requests, repeats int) {
 	for i := range windowBuckets {
 		requests += u.requests[i]
 		repeats += u.repeats[i]
 	}
+	return requests, repeats
+}
+
+// Spend reports whether a repeated send to the service is allowed, and counts
+// it. The number of routers shares the extra.
+func (w *Window) Spend(service string, routers int, now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	u := w.usage(service, now)
+	requests, repeats := u.sums()
 	if float64(repeats+1) > w.ratio*float64(requests)+w.extra/float64(max(routers, 1)) {
 		return false
 	}
--- a/cmd/router/gateway/beliefs.go
+++ b/cmd/router/gateway/beliefs.go
@@ -143,6 +143,7 @@
 // for too long.
 func (g *Gateway) tidy(now time.Time) {
 	g.handle(crew.Elapsed{At: now})
+	g.noticeFailing(now)
 	for _, p := range g.targets.Load().byLifetime {
 		p.pool.Sweep(now)
 	}
--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -43,10 +43,12 @@
 	if prompt, ok := t.req.Work().Key(); ok {
 		held = t.g.memory.Held(prompt, keys, now)
 	}
+	failing := t.g.failingOf(t.service, keys, now)
 	out := make([]fitting.Candidate, len(posts))
 	for i, p := range posts {
 		out[i] = fitting.Candidate{
-			Target: p.target, Load: loads[i], Held: held[i], Suspect: p.suspect(now), Tried: t.tried[p.key],
+			Target: p.target, Load: loads[i], Held: held[i],
+			Suspect: p.suspect(now) || failing[i], Tried: t.tried[p.key],
 		}
 	}
 	return out
--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -41,7 +41,7 @@
 		}
 	} else {
 		t.served = true
-		p.succeeded()
+		t.praise(p)
 	}
 	if t.answering {
 		t.detail = "status " + strconv.Itoa(o.answer.Status())
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -48,7 +48,9 @@
 	memory *fitting.Memory
 	pace   *fitting.Pace
 	crowd  *fitting.Crowd
-	budget *allowance.Window
+	// reports are failures at targets, here and at peers.
+	reports *fitting.Reports
+	budget  *allowance.Window
 	// idleLimits are what is learnt of idle connections to targets.
 	idleLimits idleLimits
 	peers      *peers
@@ -65,6 +67,10 @@
 	// registry is what the book knows, for peers.
 	registry atomic.Pointer[knowledge]
 
+	// failing are the targets that are left out on the word of peers, by
+	// lifetime; only tidy uses it.
+	failing map[string]bool
+
 	stopping atomic.Bool
 	// settled says that the placements from before the start are known.
 	settled atomic.Bool
@@ -85,13 +91,15 @@
 func New(cfg Config, clock schedule.Clock, log hclog.Logger, store *platform.Store, peerClient peer.HTTPClient) *Gateway {
 	g := &Gateway{
 		cfg: cfg, clock: clock, log: log, store: store, peerClient: peerClient,
-		wake:   make(chan struct{}, 1),
-		board:  fitting.NewBoard(),
-		memory: fitting.NewMemory(),
-		pace:   fitting.NewPace(),
-		crowd:  fitting.NewCrowd(),
-		budget: allowance.NewWindow(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
-		book:   crew.NewBook(),
+		wake:    make(chan struct{}, 1),
+		board:   fitting.NewBoard(),
+		memory:  fitting.NewMemory(),
+		pace:    fitting.NewPace(),
+		crowd:   fitting.NewCrowd(),
+		reports: fitting.NewReports(),
+		failing: map[string]bool{},
+		budget:  allowance.NewWindow(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
+		book:    crew.NewBook(),
 	}
 	g.targets.Store(&targets{byService: map[string][]*post{}, byLifetime: map[string]*post{}})
 	g.peers = newPeers(clock)
--- a/cmd/router/gateway/peers_test.go
+++ b/cmd/router/gateway/peers_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"vanillalug.example/fitting"
+	"vanillalug.example/peer"
 	"vanillalug.example/schedule"
 )
 
@@ -56,3 +58,33 @@
 	clock.Advance(time.Minute)
 	require.Empty(t, p.recent(clock.Now()))
 }
+
+// TestPeersReportFailures: a target at which several peers have failed gets no
+// request, though this router has not failed there itself; where peers have
+// failed at most of a service, all of it is used.
+func TestPeersReportFailures(t *testing.T) {
+	const requests, peers = 12, 3
+	s := newStation(t)
+	targets := s.add(plain, "p1", "p2")
+	s.ready(2)
+	from := netip.MustParseAddrPort("127.0.0.1:9")
+	report := func(keys ...uint64) {
+		for i := range peers {
+			s.g.hear(&peer.Share{From: name("peer", i), Failing: keys}, from)
+		}
+	}
+	key := func(id string) uint64 { return uint64(fitting.KeyOf(id + "/1")) }
+	report(key("p1"))
+	for i := range requests {
+		require.Equal(t, 200, s.post("/once/x", name("a", i), "y").status)
+	}
+	require.Empty(t, targets[0].Runs())
+	require.Eventually(t, func() bool {
+		return strings.Contains(s.lines.String(), `"@message":"target fails for many routers"`)
+	}, soon, tick)
+	report(key("p1"), key("p2"))
+	for i := range 4 * requests {
+		require.Equal(t, 200, s.post("/once/x", name("b", i), "y").status)
+	}
+	require.NotEmpty(t, targets[0].Runs())
+}
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -63,6 +63,9 @@
 			Target: uint64(key), Requests: uint32(max(l.Requests(), 0)), Unread: uint32(max(l.Unread(), 0)),
 		})
 	}
+	for _, k := range g.reports.Own(now) {
+		out.Failing = append(out.Failing, uint64(k))
+	}
 	for _, p := range g.peers.recent(now) {
 		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
 	}
@@ -99,6 +102,11 @@
 	for _, p := range s.Placements {
 		g.memory.Hear(fitting.Placement{Prompt: p.Prompt, Target: fitting.Key(p.Target)}, now)
 	}
+	failing := make([]fitting.Key, len(s.Failing))
+	for i, k := range s.Failing {
+		failing[i] = fitting.Key(k)
+	}
+	g.reports.Hear(s.From, failing, now)
 	a := ahead{
 		from: from, version: s.PlanVersion, revision: s.RegistryRevision, digest: s.RegistryDigest,
 		following: s.Following,
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -20,7 +20,7 @@
 	if err == nil {
 		t.begin(o)
 		t.served = true
-		p.succeeded()
+		t.praise(p)
 		t.logEnd(o.answer.Status(), "answered", nil)
 		return false
 	}
--- a/cmd/router/gateway/trip.go
+++ b/cmd/router/gateway/trip.go
@@ -142,9 +142,16 @@
 	}
 }
 
+// praise counts a success of the target.
+func (t *trip) praise(p *post) {
+	p.succeeded()
+	t.g.reports.Succeeded(p.key)
+}
+
 // blame counts a failure of the target.
 func (t *trip) blame(p *post, weight int) {
 	now := t.g.clock.Now()
+	t.g.reports.Failed(p.key, now)
 	until := p.failed(now, weight)
 	if until.IsZero() {
 		return
