--- a/cmd/router/gateway/gateway_test.go
+++ b/cmd/router/gateway/gateway_test.go
@@ -2,16 +2,12 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"vanillalug.example/fitting"
 	"vanillalug.example/platform/platformtest"
 )
 
@@ -169,153 +165,6 @@
 	}
 }
 
-// TestConnectionsAreKept: requests one after the other use one connection, and
-// one that the target has closed meanwhile is not used.
-func TestConnectionsAreKept(t *testing.T) {
-	s := newStation(t)
-	targets := s.add(plain, "p1")
-	s.ready(1)
-	for i := range 10 {
-		require.Equal(t, 200, s.post("/once/x", name("a", i), "y").status)
-	}
-	require.Equal(t, 1, targets[0].Conns())
-	targets[0].CloseConns()
-	require.Eventually(t, func() bool { return targets[0].Open() == 0 }, soon, tick)
-	require.Equal(t, 200, s.post("/once/x", "b", "y").status)
-	require.Equal(t, 2, targets[0].Conns())
-}
-
-// TestUnreachableTarget: a target that takes no connection costs nobody an
-// answer, and is left alone after the first failure.
-// TestPromptsAreCopied: an engine that gets a request whose shared prompt it
-// lacks is told which engine holds it; callers can't say so themselves.
-func TestPromptsAreCopied(t *testing.T) {
-	const busy = 30
-	s := newStation(t)
-	targets := s.add(prompts, "e1", "e2")
-	s.ready(2)
-	ask := func(id string) string {
-		w := s.ask("POST", "/prompt/x", id, strings.NewReader("y"), func(r *http.Request) {
-			r.Header.Set("X-Model", "m")
-			r.Header.Set("X-Token-Count", "1200,80")
-			r.Header.Set("X-Prefix-Hash", "a1:1000,"+id+":200")
-			r.Header.Set("Kv-Fetch", "10.9.9.9:1")
-		})
-		require.Equal(t, 200, w.status)
-		for i, target := range targets {
-			for _, run := range target.Runs() {
-				if run.ID == id {
-					return name("e", i+1) + " " + run.Header.Get("Kv-Fetch")
-				}
-			}
-		}
-		return ""
-	}
-	first := ask("b1")
-	holder := 0
-	if strings.HasPrefix(first, "e2") {
-		holder = 1
-	}
-	require.NotContains(t, first, ":", "nobody holds it yet")
-	require.Equal(t, first, ask("b2"), "the same engine holds it")
-	s.g.board.Add(fitting.KeyOf(targets[holder].ID+"/1"), busy, 0)
-	require.Equal(t, name("e", 2-holder)+" "+targets[holder].Address(), ask("b3"))
-}
-
-// TestIdleConnectionsAreDropped: once a connection turned out to be dropped, a
-// request that must not be sent again gets no connection that was idle for as
-// long; others still try, as they may be sent again.
-func TestIdleConnectionsAreDropped(t *testing.T) {
-	const idle = 50 * time.Millisecond
-	s := newStation(t)
-	target := s.add(plain, "p1")[0]
-	s.ready(1)
-	target.ForgetAfter(idle)
-	require.Equal(t, 200, s.post("/once/x", "first", "y").status)
-	time.Sleep(2 * idle)
-	require.Equal(t, 502, s.post("/once/x", "lost", "y").status, "nobody knows yet")
-	for i := range 4 {
-		require.Equal(t, 200, s.post("/once/x", name("once", i), "y").status)
-		time.Sleep(2 * idle)
-	}
-	require.Zero(t, runsOf("lost", []*platformtest.Target{target}))
-	require.Contains(t, s.lines.String(), `"@message":"idle connections are dropped"`)
-}
-
-func TestUnreachableTarget(t *testing.T) {
-	s := newStation(t)
-	targets := s.add(plain, "p1", "p2", "p3")
-	s.ready(3)
-	targets[0].Close()
-	for i := range 12 {
-		require.Equal(t, 200, s.post("/once/x", name("a", i), "y").status)
-	}
-	require.Equal(t, 1, strings.Count(s.lines.String(), `"outcome":"not sent"`))
-}
-
-// TestExtraAnswer: a second answer on a connection reaches nobody.
-func TestExtraAnswer(t *testing.T) {
-	s := newStation(t)
-	targets := s.add(plain, "p1")
-	s.ready(1)
-	for i := range 10 {
-		targets[0].Then(platformtest.Extra)
-		w := s.post("/once/x", name("a", i), "y")
-		require.Equal(t, "done "+name("a", i), w.body)
-	}
-}
-
-// TestCallerLeaves: the target's work is cancelled when the caller is gone.
-func TestCallerLeaves(t *testing.T) {
-	s := newStation(t)
-	targets := s.add(plain, "p1")
-	s.ready(1)
-	targets[0].Then(platformtest.Mute)
-	client := &http.Client{Timeout: 50 * time.Millisecond}
-	r, err := http.NewRequest(http.MethodGet, s.entry.URL+"/safe/x", nil)
-	require.NoError(t, err)
-	platformtest.Sign(r, "id", testKey, time.Second)
-	w, err := client.Do(r)
-	if err == nil {
-		_ = w.Body.Close()
-	}
-	require.Error(t, err)
-	require.Eventually(t, func() bool { return targets[0].Open() == 0 }, 500*time.Millisecond, tick)
-	require.Equal(t, 1, runsOf("id", targets), "nothing is sent again for a caller that is gone")
-}
-
-// TestHalfClosed: a caller that ends its side of the connection is taken to be
-// gone; what it may still read is never a success.
-func TestHalfClosed(t *testing.T) {
-	s := newStation(t)
-	targets := s.add(plain, "p1")
-	s.ready(1)
-	targets[0].Always(platformtest.Mute)
-	c, err := net.Dial("tcp4", strings.TrimPrefix(s.entry.URL, "http://"))
-	require.NoError(t, err)
-	defer func() { _ = c.Close() }()
-	_, err = io.WriteString(c, platformtest.Head(http.MethodGet, "/safe/x", "id", testKey)+"\r\n")
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return runsOf("id", targets) == 1 }, soon, tick)
-	require.NoError(t, c.(*net.TCPConn).CloseWrite())
-	out, err := io.ReadAll(c)
-	require.NoError(t, err)
-	require.NotContains(t, string(out), "200 OK")
-}
-
-// TestSlowCaller: a caller that does not send its whole body is answered when
-// its time is up, and one that reads nothing holds no target beyond it.
-func TestSlowCaller(t *testing.T) {
-	s := newStation(t)
-	targets := s.add(plain, "p1")
-	s.ready(1)
-	begin := time.Now()
-	answer := s.raw(platformtest.Head(http.MethodPost, "/short/x", "id", testKey) + "Content-Length: 10\r\n\r\nhalf")
-	require.Contains(t, answer, "408 Request Timeout")
-	require.Less(t, time.Since(begin), time.Second)
-	require.Zero(t, runsOf("id", targets))
-}
-
 func TestNoRoutingTableYet(t *testing.T) {
 	store := platformtest.NewStore()
 	s := newStationAt(t, store, "r1")
@@ -325,18 +174,6 @@
 	require.False(t, s.g.Ready())
 }
 
-func TestChunkedBodyEndsTheConnection(t *testing.T) {
-	s := newStation(t)
-	targets := s.add(plain, "p1")
-	s.ready(1)
-	raw := platformtest.Head(http.MethodPost, "/once/x", "outer", testKey) +
-		"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
-		platformtest.Head(http.MethodPost, "/once/x", "inner", testKey) + "Content-Length: 0\r\n\r\n"
-	answer := s.raw(raw)
-	require.Contains(t, answer, "Connection: close")
-	require.Zero(t, runsOf("inner", targets))
-}
-
 func TestStopping(t *testing.T) {
 	s := newStation(t)
 	s.add(plain, "p1")
--- a/fitting/board_test.go
+++ b/fitting/board_test.go
@@ -87,3 +87,21 @@
 		b.Loads(keys, start)
 	}
 }
+
+func TestBoard(t *testing.T) {
+	b := NewBoard()
+	a, c := KeyOf("a"), KeyOf("c")
+	b.Add(a, 1, 100)
+	b.Add(a, 1, 50)
+	b.Add(a, 0, -100)
+	b.Hear("r2", map[Key]Load{a: NewLoad(3, 7), c: NewLoad(1, 0)}, start)
+	require.Equal(t, []Load{NewLoad(5, 57), NewLoad(1, 0)}, b.Loads([]Key{a, c}, start))
+	b.Hear("r2", map[Key]Load{c: NewLoad(2, 0)}, start)
+	require.Equal(t, []Load{NewLoad(2, 50), NewLoad(2, 0)}, b.Loads([]Key{a, c}, start), "the newest word of a peer counts alone")
+	require.Equal(t, 1, b.Peers(start))
+	later := start.Add(time.Millisecond)
+	require.Equal(t, []Load{NewLoad(2, 50), {}}, b.Loads([]Key{a, c}, later), "a peer that fell silent has no work")
+	require.Zero(t, b.Peers(later))
+	b.Add(a, -2, -50)
+	require.Empty(t, b.Own())
+}
--- a/fitting/reports.go
+++ b/fitting/reports.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// reportTime is for how long a failure at a router counts.
-	reportTime = 2 * time.Second
+	// ReportTime is for how long a failure at a router counts.
+	ReportTime = 2 * time.Second
 	// toldTime is for how long a router tells its peers of a failure.
 	toldTime = 1200 * time.Millisecond
 	// minReporters is how many routers must have failed at a target at least.
@@ -114,7 +114,7 @@
 		return 0
 	}
 	for name, at := range reporters {
-		if now.Sub(at) >= reportTime {
+		if now.Sub(at) >= ReportTime {
 			delete(reporters, name)
 		}
 	}
@@ -123,6 +123,3 @@
 	}
 	return len(reporters)
 }
-
-// ReportTime is for how long a failure at a router counts.
-func ReportTime() time.Duration { return reportTime }
--- a/fitting/reports_test.go
+++ b/fitting/reports_test.go
@@ -33,7 +33,7 @@
 		"a quarter of them":     {func(r *Reports) { told(r, many/4, 1) }, many, 0, []bool{true, false, false, false}},
 		"half of the service":   {func(r *Reports) { told(r, minReporters, 1, 4) }, few, 0, []bool{true, false, false, true}},
 		"more than half":        {func(r *Reports) { told(r, minReporters, 1, 2, 3) }, few, 0, []bool{false, false, false, false}},
-		"a while ago":           {func(r *Reports) { told(r, minReporters, 1) }, few, reportTime, []bool{false, false, false, false}},
+		"a while ago":           {func(r *Reports) { told(r, minReporters, 1) }, few, ReportTime, []bool{false, false, false, false}},
 		"the same router often": {func(r *Reports) { told(r, 1, 1); told(r, 1, 1); told(r, 1, 1) }, few, 0, []bool{false, false, false, false}},
 	}
 	for name, tt := range tests {
