--- a/cmd/router/gateway/beliefs_test.go
+++ b/cmd/router/gateway/beliefs_test.go
@@ -80,7 +80,7 @@
 // TestLongRegistry: a registry of so many pages that it takes longer to read
 // than one call may is read once, page by page, also where some pages fail.
 func TestLongRegistry(t *testing.T) {
-	const targets, page, delay = 30, 6, 600 * time.Millisecond
+	const targets, page, delay = 30, 5, 350 * time.Millisecond
 	store := platformtest.NewStore()
 	store.PutJSON("op", "config", platformtest.Plan(1, []string{testKey}, routes()...))
 	for i := range targets {
