--- a/cmd/router/gateway/connections_test.go
+++ b/cmd/router/gateway/connections_test.go
@@ -37,32 +37,30 @@
 	s := newStation(t)
 	targets := s.add(prompts, "e1", "e2")
 	s.ready(2)
-	ask := func(id string) string {
+	ask := func(id string, own uint64) string {
 		w := s.ask("POST", "/prompt/x", id, strings.NewReader("y"), func(r *http.Request) {
-			r.Header.Set("X-Model", "m")
-			r.Header.Set("X-Token-Count", "1200,80")
-			r.Header.Set("X-Prefix-Hash", "a1:1000,"+id+":200")
-			r.Header.Set("Kv-Fetch", "10.9.9.9:1")
+			platformtest.Prompt(r, "m", 0xa1, 1000, own)
+			platformtest.CopyFrom(r, "10.9.9.9:1")
 		})
 		require.Equal(t, 200, w.status)
 		for i, target := range targets {
 			for _, run := range target.Runs() {
 				if run.ID == id {
-					return name("e", i+1) + " " + run.Header.Get("Kv-Fetch")
+					return name("e", i+1) + " " + run.CopiedFrom()
 				}
 			}
 		}
 		return ""
 	}
-	first := ask("b1")
+	first := ask("b1", 1)
 	holder := 0
 	if strings.HasPrefix(first, "e2") {
 		holder = 1
 	}
 	require.NotContains(t, first, ":", "nobody holds it yet")
-	require.Equal(t, first, ask("b2"), "the same engine holds it")
+	require.Equal(t, first, ask("b2", 2), "the same engine holds it")
 	s.g.board.Add(fitting.KeyOf(targets[holder].ID+"/1"), busy, 0)
-	require.Equal(t, name("e", 2-holder)+" "+targets[holder].Address(), ask("b3"))
+	require.Equal(t, name("e", 2-holder)+" "+targets[holder].Address(), ask("b3", 3))
 }
 
 // TestIdleConnectionsAreDropped: once a connection turned out to be dropped, a
