--- a/cmd/measure/gateway/stage.go
+++ b/cmd/measure/gateway/stage.go
@@ -2,19 +2,16 @@
 
 import (
 	"fmt"
-	"time"
 
 	"vanillalug.example/cmd/soak/fleet"
 	"vanillalug.example/platform/platformtest"
 )
 
 const (
-	key       = "key-1"
-	plain     = "booking"
-	models    = "models"
-	readyTime = 15 * time.Second
-	readyTick = 50 * time.Millisecond
-	maxConns  = 2 * streamStep * streamSteps
+	key      = "key-1"
+	plain    = "booking"
+	models   = "models"
+	maxConns = 2 * streamStep * streamSteps
 	// timeout is that of the routes, in milliseconds.
 	timeout = 120000
 )
@@ -58,20 +55,7 @@
 			return nil, err
 		}
 	}
-	return s, s.awaitReady()
-}
-
-func (s *measured) awaitReady() error {
-	end := time.Now().Add(readyTime)
-	for _, r := range s.routers {
-		for !r.Ready() {
-			if time.Now().After(end) {
-				return fmt.Errorf("%s is not ready after %s", r.Name, readyTime)
-			}
-			time.Sleep(readyTick)
-		}
-	}
-	return nil
+	return s, fleet.AwaitReady(s.routers)
 }
 
 func (s *measured) end() {
--- a/cmd/soak/fleet/stage.go
+++ b/cmd/soak/fleet/stage.go
@@ -85,9 +85,12 @@
 }
 
 // AwaitReady waits until every router is ready.
-func (s *Stage) AwaitReady() error {
+func (s *Stage) AwaitReady() error { return AwaitReady(s.Routers) }
+
+// AwaitReady waits until the routers are ready.
+func AwaitReady(routers []*Router) error {
 	end := time.Now().Add(readyTime)
-	for _, r := range s.Routers {
+	for _, r := range routers {
 		for !r.Ready() {
 			if time.Now().After(end) {
 				return fmt.Errorf("%s is not ready after %s", r.Name, readyTime)
--- a/fitting/board_test.go
+++ b/fitting/board_test.go
@@ -11,7 +11,7 @@
 	"vanillalug.example/lugtest"
 )
 
-// told by peers, added up anew for each question.
+// plainBoard adds up what peers told anew for each question.
 type plainBoard struct {
 	own   map[Key]Load
 	peers map[string]told
