--- a/cmd/router/channel/pool.go
+++ b/cmd/router/channel/pool.go
@@ -107,13 +107,6 @@
 	}
 }
 
-// OpenConns returns the number of open connections.
-func (p *Pool) OpenConns() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 // maxIdleTime returns how long a connection may be idle and still be reused.
 func maxIdleTime(idleTimeout time.Duration) time.Duration {
 	if idleTimeout <= 0 {
--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -58,7 +58,6 @@
 	g := gateway.New(gateway.Config{
 		Name: cfg.Name(), Place: cfg.Place(), PeerAddress: cfg.Peers(), Seeds: cfg.Seeds(),
 		RetryRatio: cfg.RetryRatio(), RetryExtra: cfg.RetryExtra(), RetryWindow: cfg.RetryWindow(),
-		Grace: cfg.GracePeriod(),
 	}, clock, log, platform.NewStore(client, cfg.Store()),
 		reception.NewClient("peers", reception.WithConnectTimeout(peerConnectTimeout), reception.WithIdleConnTimeout(peerIdleConnTimeout)))
 	signals := make(chan os.Signal, 4)
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -1,11 +1,15 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"vanillalug.example"
 	"vanillalug.example/crew"
 	"vanillalug.example/peer"
@@ -27,6 +31,10 @@
 	// seedInterval is the time between two requests to seeds, with a jitter of
 	// ±50%.
 	seedInterval = 300 * time.Millisecond
+	// seedsPerRound is the number of seeds that are asked at once.
+	seedsPerRound = 2
+	// seedTimeout bounds how long one that does not respond delays the other's reply.
+	seedTimeout = 600 * time.Millisecond
 )
 
 // versions are the versions of the routing table and the registry that a router
@@ -133,11 +141,53 @@
 		if g.Ready() {
 			return
 		}
-		seeds := g.peers.seedList()
-		if len(seeds) > 0 {
-			g.syncFromPeer(ctx, seeds[rand.IntN(len(seeds))], true)
+		g.syncFromSeeds(ctx)
+	}
+}
+
+// syncFromSeeds applies what the seeds have, that of the most recent one first: one
+// that was cut off for long has targets that have left and keys that were revoked.
+func (g *Gateway) syncFromSeeds(ctx context.Context) {
+	seeds := g.otherSeeds()
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	seeds = seeds[:min(len(seeds), seedsPerRound)]
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	current := g.versions()
+	replies := make([]*peer.GetBeliefsReply, len(seeds))
+	var calls errgroup.Group
+	for i, address := range seeds {
+		calls.Go(func() (err error) {
+			replies[i], err = g.callPeer(ctx, address, current, &peer.GetBeliefsRequest{Insist: true})
+			if err != nil {
+				g.log.Warn("a seed did not tell what it knows", "peer", address.String(), "error", err)
+			}
+			return nil
+		})
+	}
+	if err := calls.Wait(); err != nil {
+		g.log.Warn("cannot ask the seeds", "error", err)
+	}
+	for _, i := range newestFirst(replies) {
+		g.applyReply(replies[i], seeds[i], current)
+	}
+}
+
+// newestFirst returns the indexes of the replies, those with newer versions first,
+// without missing ones.
+func newestFirst(replies []*peer.GetBeliefsReply) []int {
+	var out []int
+	for i, r := range replies {
+		if r != nil {
+			out = append(out, i)
 		}
 	}
+	slices.SortFunc(out, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(replies[b].PlanVersion, replies[a].PlanVersion),
+			registryRevision(replies[b]).Compare(registryRevision(replies[a])))
+	})
+	return out
 }
 
 // syncFromPeer requests what a peer has beyond this router and applies it. The
@@ -153,7 +203,8 @@
 	g.applyReply(reply, address, current)
 }
 
-// applyReply applies a peer's reply to a request that was sent with the versions.
+// applyReply applies a peer's reply to a request that was sent with the versions. The
+// view ignores a registry that is older than the one that it has by now.
 func (g *Gateway) applyReply(reply *peer.GetBeliefsReply, address netip.AddrPort, current versions) {
 	found := g.routerAddresses(reply.Routers)
 	found[reply.From] = address
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -37,8 +37,6 @@
 	RetryExtra float64
 	// RetryWindow is the time window in which requests and retries are counted.
 	RetryWindow time.Duration
-	// Grace is the time from SIGTERM to the end of the process.
-	Grace time.Duration
 }
 
 // Gateway is an HTTP handler that forwards callers' requests to targets. It
--- a/cmd/router/gateway/harness_test.go
+++ b/cmd/router/gateway/harness_test.go
@@ -96,7 +96,7 @@
 	client := reception.NewClient("store", reception.WithConnectTimeout(time.Second))
 	tr.g = New(Config{
 		Name: name, Place: "a", PeerAddress: freeAddress(t), Seeds: seeds,
-		RetryRatio: 1, RetryExtra: 1000, RetryWindow: 10 * time.Second, Grace: time.Second,
+		RetryRatio: 1, RetryExtra: 1000, RetryWindow: 10 * time.Second,
 	}, schedule.NewSystem(), log, platform.NewStore(client, store.Address()),
 		reception.NewClient("peers", reception.WithConnectTimeout(time.Second)))
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/router/office/group_writer_test.go
+++ b/cmd/router/office/group_writer_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"vanillalug.example/depot"
@@ -124,7 +123,7 @@
 func newTestJournal() (*journal, *fakeTable, *schedule.Fake) {
 	table := newFakeTable()
 	clock := schedule.NewFake(time.Now())
-	return newJournal(clock, table, hclog.NewNullLogger()), table, clock
+	return newJournal(clock, table), table, clock
 }
 
 // TestClaimsFailFastDuringTableOutage tests that claims fail immediately, without a
--- a/cmd/router/office/journal.go
+++ b/cmd/router/office/journal.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/depot"
 	"vanillalug.example/ledger"
@@ -26,7 +24,6 @@
 type journal struct {
 	clock  schedule.Clock
 	table  depot.Table
-	log    hclog.Logger
 	writer *groupWriter
 
 	mu               sync.Mutex
@@ -42,8 +39,8 @@
 	due    time.Time
 }
 
-func newJournal(clock schedule.Clock, table depot.Table, log hclog.Logger) *journal {
-	return &journal{clock: clock, table: table, log: log, writer: newGroupWriter(table)}
+func newJournal(clock schedule.Clock, table depot.Table) *journal {
+	return &journal{clock: clock, table: table, writer: newGroupWriter(table)}
 }
 
 // storeClaim writes a claim and returns the outcome. It does not try while the table
--- a/cmd/router/office/router.go
+++ b/cmd/router/office/router.go
@@ -48,7 +48,6 @@
 
 	draining    atomic.Bool
 	lastRequest atomic.Uint64
-	startedAt   time.Time
 }
 
 type options struct {
@@ -102,13 +101,12 @@
 		name: id.Name, place: id.Place, build: id.Build, levels: id.Levels, opts: o,
 		log: deps.Log, clock: deps.Clock, engines: deps.Engines, calls: deps.Calls, peers: deps.Peers,
 		table: deps.Table, objects: deps.Objects, vms: deps.VMs,
-		roster:    roster.New(deps.Clock, self),
-		register:  register.New(deps.Clock, id.Levels),
-		loads:     dispatch.NewLoadView(),
-		budget:    allowance.NewBudget(),
-		startedAt: now,
+		roster:   roster.New(deps.Clock, self),
+		register: register.New(deps.Clock, id.Levels),
+		loads:    dispatch.NewLoadView(),
+		budget:   allowance.NewBudget(),
 	}
-	r.journal = newJournal(deps.Clock, deps.Table, deps.Log.Named("journal"))
+	r.journal = newJournal(deps.Clock, deps.Table)
 	r.refreshOwners()
 	r.registerGauges()
 	return r
--- a/reception/conn_guard.go
+++ b/reception/conn_guard.go
@@ -23,11 +23,15 @@
 	limits ConnLimits
 
 	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
+	timers map[net.Conn]*connTimer
 }
 
+// connTimer is the timer of one state of a connection. One that has fired may still
+// be waiting for the mutex when the connection has its next one.
+type connTimer struct{ *time.Timer }
+
 func newConnGuard(limits ConnLimits) *connGuard {
-	return &connGuard{limits: limits, timers: map[net.Conn]*time.Timer{}}
+	return &connGuard{limits: limits, timers: map[net.Conn]*connTimer{}}
 }
 
 // connState handles the state changes of connections, as http.Server.ConnState. A
@@ -53,20 +57,25 @@
 		delete(g.timers, c)
 	}
 	if d > 0 {
-		g.timers[c] = time.AfterFunc(d, func() { g.closeExpired(c) })
+		t := &connTimer{}
+		t.Timer = time.AfterFunc(d, func() { g.closeExpired(c, t) })
+		g.timers[c] = t
 	}
 }
 
 // stopTimer removes the timer of a connection.
 func (g *connGuard) stopTimer(c net.Conn) { g.startTimer(c, 0) }
 
-// closeExpired closes a connection unless its timer was removed meanwhile.
-func (g *connGuard) closeExpired(c net.Conn) {
+// closeExpired closes a connection unless its timer was removed or replaced
+// meanwhile.
+func (g *connGuard) closeExpired(c net.Conn, expired *connTimer) {
 	g.mu.Lock()
-	_, ok := g.timers[c]
-	delete(g.timers, c)
+	current := g.timers[c] == expired
+	if current {
+		delete(g.timers, c)
+	}
 	g.mu.Unlock()
-	if ok {
+	if current {
 		_ = c.Close()
 	}
 }
--- a/reception/conn_guard_test.go
+++ b/reception/conn_guard_test.go
@@ -69,3 +69,19 @@
 	s.Start()
 	return s
 }
+
+// TestConnGuardReplacedTimer checks that a timer that has fired just before the next
+// request was accepted does not close the connection afterwards.
+func TestConnGuardReplacedTimer(t *testing.T) {
+	g := newConnGuard(fixedLimits{})
+	c, other := net.Pipe()
+	defer func() { _ = other.Close() }()
+	g.startTimer(c, time.Hour)
+	fired := g.timers[c]
+	g.stopTimer(c)
+	g.startTimer(c, time.Hour)
+	g.closeExpired(c, fired)
+	require.NoError(t, c.SetDeadline(time.Now().Add(time.Hour)), "the connection is open")
+	g.closeExpired(c, g.timers[c])
+	require.Error(t, c.SetDeadline(time.Now().Add(time.Hour)), "the connection is closed")
+}
