Let routers join the store's followers step by step during an outage

Cause: when fewer than three peers got responses from the store, every router followed it at once: at 195 routers a store that is out, and comes back, is called by all of them, and each retried after 0.5 s.

Change: the designated routers keep trying; their number doubles for every 2 s that too few get responses, as the store may reject just those. The others retry after up to 4 s. What a peer sent as of a revision is where a starting router goes on, without reading the whole table again. Routers that don't follow the store list the others every 5 minutes instead of every minute: new routers make themselves known by their datagrams.

Not measured at 195 yet.

--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -48,6 +48,9 @@
 	repeatsLeft   int
 	versions      map[string]peerVersions
 	pending       []pendingPlacement
+	// lackingSince is since when too few peers get responses from the store; the
+	// zero time if enough do.
+	lackingSince time.Time
 }
 
 // peerRouter is another router.
@@ -161,6 +164,22 @@
 	return p.clock.Now().Add(-max(p.ttl(), minLoadTTL))
 }
 
+// lackingFollowers returns how long too few peers have got responses from the store;
+// lacking says whether that is so now.
+func (p *peers) lackingFollowers(lacking bool) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if !lacking {
+		p.lackingSince = time.Time{}
+		return 0
+	}
+	if p.lackingSince.IsZero() {
+		p.lackingSince = now
+	}
+	return now.Sub(p.lackingSince)
+}
+
 // ttl returns the time in which each peer sends two shares, plus a margin.
 func (p *peers) ttl() time.Duration { return freshnessMargin + 2*p.cycle() }
 
--- a/cmd/router/gateway/registration.go
+++ b/cmd/router/gateway/registration.go
@@ -14,9 +14,12 @@
 const (
 	// registerDelay lets the other routers register first.
 	registerDelay = 2 * time.Second
-	// routerListInterval is the mean time between two reads of the routers' table.
+	// routerListInterval is the mean time between two reads of the routers' table by
+	// a router that follows the store. Others learn new routers from their datagrams.
 	routerListInterval = time.Minute
-	registerTimeout    = 3 * time.Second
+	// idleListInterval is that of the others.
+	idleListInterval = 5 * time.Minute
+	registerTimeout  = 3 * time.Second
 	// deregisterAfter is the time without a datagram from a router after which
 	// its row is removed.
 	deregisterAfter = 10 * time.Minute
@@ -49,7 +52,11 @@
 			continue
 		}
 		registered = registered && listed
-		if g.registrationLostWithin(ctx, routerListInterval/2+rand.N(routerListInterval)) {
+		interval := idleListInterval
+		if g.followsStore() {
+			interval = routerListInterval
+		}
+		if g.registrationLostWithin(ctx, interval/2+rand.N(interval)) {
 			registered = false
 			sleep(ctx, rand.N(registerDelay))
 		}
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -37,6 +37,10 @@
 	// retryDelay is the first delay after a failed call, with a jitter of ±50%.
 	retryDelay    = 120 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
+	// maxIdleRetryDelay applies to routers that get changes from their peers.
+	maxIdleRetryDelay = 4 * time.Second
+	// maxDoublings bounds how often the retry delay is doubled.
+	maxDoublings = 6
 	// maxInitialRetryDelay applies while this router has never read the table.
 	maxInitialRetryDelay = 200 * time.Millisecond
 )
@@ -95,13 +99,17 @@
 }
 
 // followsStore reports whether this router polls the store itself.
-func (g *Gateway) followsStore() bool { return rota.FollowsStore(g.cfg.Name, g.peers.alive()) }
+func (g *Gateway) followsStore() bool {
+	alive := g.peers.alive()
+	return rota.FollowsStore(g.cfg.Name, alive, g.peers.lackingFollowers(rota.Lacking(alive)))
+}
 
-// advance records that all changes up to a revision were received from a peer.
+// advance records that all changes up to a revision were received from a peer, or the
+// whole table as of it.
 func (w *watcher) advance(revision vanillalug.StoreRevision) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.revision.IsZero() && revision.After(w.revision) {
+	if revision.After(w.revision) {
 		w.revision = revision
 	}
 }
@@ -241,10 +249,13 @@
 
 func (w *watcher) retryBackoff() time.Duration {
 	maxDelay := maxRetryDelay
-	if w.knownRevision().IsZero() {
+	switch {
+	case w.knownRevision().IsZero():
 		maxDelay = maxInitialRetryDelay
+	case !w.g.followsStore():
+		maxDelay = maxIdleRetryDelay
 	}
-	d := min(retryDelay<<min(w.failures-1, 4), maxDelay)
+	d := min(retryDelay<<min(w.failures-1, maxDoublings), maxDelay)
 	return d/2 + rand.N(d)
 }
 
--- a/rota/rota.go
+++ b/rota/rota.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math/bits"
 	"slices"
+	"time"
 
 	"vanillalug.example"
 )
@@ -12,6 +13,11 @@
 	// minFollowers is the smallest number of peers that must follow the store
 	// before a router relies on them.
 	minFollowers = 3
+	// takeoverInterval is how long too few followers must get no response from the
+	// store until twice as many routers follow it.
+	takeoverInterval = 2 * time.Second
+	// maxTakeovers bounds how often the number of followers is doubled.
+	maxTakeovers = 16
 	// baseFollowers is the part of the number of followers that doesn't depend
 	// on the number of routers.
 	baseFollowers = 2
@@ -26,20 +32,25 @@
 }
 
 // FollowsStore reports whether the router follows the store itself. The first
-// routers in hash order do, more of them in larger fleets, and so does every
-// router with too few peers that do.
-func FollowsStore(self string, peers []Peer) bool {
+// routers in hash order do, more of them in larger fleets. lacking is how long
+// Lacking has been true: the store may reject just those routers, so others join
+// them, or it is out, so they join one after the other.
+func FollowsStore(self string, peers []Peer, lacking time.Duration) bool {
+	names := hashOrder(self, peers)
+	doublings := min(lacking/takeoverInterval, maxTakeovers)
+	return slices.Index(names, self) < followerCount(len(names))<<doublings
+}
+
+// Lacking reports whether too few peers get responses from the store to rely on
+// them.
+func Lacking(peers []Peer) bool {
 	following := 0
 	for _, p := range peers {
 		if p.Following {
 			following++
 		}
 	}
-	if following < minFollowers {
-		return true
-	}
-	names := hashOrder(self, peers)
-	return slices.Index(names, self) < followerCount(len(names))
+	return following < minFollowers
 }
 
 // FirstRouter returns the first router in hash order.
