Own interface: no response of another request, and an end for stalled streams

Cause, found by looking for what other operators met: (1) a service that sends a second copy of a response late, after the next call was sent on the pooled connection: the transport took it for the response of that call. The same for outcomes of non-idempotent calls and for engines whose events have no ids. (2) the idle timer of an engine's stream was restarted by any byte, so one that sends a comment or a byte of an event now and then never ended.

Change: calls carry Vanillalug-Request-Id; only connections to targets that return it are reused, and a response with another id, or with none on a reused connection, is a MismatchError, which idempotent calls retry. Connections to engines serve one stream. A stream without a complete event for the first-token time ends; one whose events arrive does not, however slow. The error names the timeout that passed.

Cost of the new connections: not measured yet.

--- a/cmd/router/courier/http_engine.go
+++ b/cmd/router/courier/http_engine.go
@@ -31,8 +31,9 @@
 	idleTimeout  time.Duration
 }
 
-// NewHTTPEngine returns a client. A stream is aborted when nothing is received
-// for idleTimeout, or for firstTimeout before its first byte.
+// NewHTTPEngine returns a client; streams has the EngineConnections. A stream is
+// aborted when nothing is received for idleTimeout, or for firstTimeout before its
+// first byte, and when no event is complete for firstTimeout.
 func NewHTTPEngine(streams, reports, events *reception.Client, firstTimeout, idleTimeout time.Duration) *HTTPEngine {
 	return &HTTPEngine{streams: streams, reports: reports, events: events, firstTimeout: firstTimeout, idleTimeout: idleTimeout}
 }
@@ -91,7 +92,7 @@
 		defer cancel()
 		return nil, readStatusError(w)
 	}
-	return newHTTPStream(w.Body, cancel, timeout, e.idleTimeout).events(request, offset), nil
+	return newHTTPStream(w.Body, cancel, timeout, e.idleTimeout).limitEventGap(e.firstTimeout).events(request, offset), nil
 }
 
 type reportBody struct {
--- a/cmd/router/courier/http_stream.go
+++ b/cmd/router/courier/http_stream.go
@@ -9,21 +9,42 @@
 )
 
 // httpStream is a Stream over an HTTP response. A timer cancels the request
-// when nothing is received for the idle timeout.
+// when nothing is received for the idle timeout, and another when no event is
+// complete for a longer time.
 type httpStream struct {
 	body        io.ReadCloser
 	reader      *EventReader
 	cancel      context.CancelFunc
 	idleTimeout time.Duration
 	timer       *time.Timer
-	timedOut    atomic.Bool
+	// receiving says that the first byte was received.
+	receiving atomic.Bool
+	// eventTimeout limits the time between two events; 0 is no limit.
+	eventTimeout time.Duration
+	eventTimer   *time.Timer
+	// expired is the timeout that has passed, or 0.
+	expired atomic.Int64
 }
 
 // newHTTPStream returns a stream that owns the body. The function cancel aborts
 // the request. firstTimeout applies until the first byte.
 func newHTTPStream(body io.ReadCloser, cancel context.CancelFunc, firstTimeout, idleTimeout time.Duration) *httpStream {
 	s := &httpStream{body: body, cancel: cancel, idleTimeout: idleTimeout}
-	s.timer = time.AfterFunc(firstTimeout, s.expire)
+	s.timer = time.AfterFunc(firstTimeout, func() {
+		if s.receiving.Load() {
+			s.expire(idleTimeout)
+			return
+		}
+		s.expire(firstTimeout)
+	})
+	return s
+}
+
+// limitEventGap limits the time without a complete event, and returns s: a stalled
+// server may still send comments or single bytes.
+func (s *httpStream) limitEventGap(d time.Duration) *httpStream {
+	s.eventTimeout = d
+	s.eventTimer = time.AfterFunc(d, func() { s.expire(d) })
 	return s
 }
 
@@ -33,8 +54,8 @@
 	return s
 }
 
-func (s *httpStream) expire() {
-	s.timedOut.Store(true)
+func (s *httpStream) expire(timeout time.Duration) {
+	s.expired.CompareAndSwap(0, int64(timeout))
 	s.cancel()
 }
 
@@ -42,10 +63,13 @@
 func (s *httpStream) Next() (Event, error) {
 	ev, err := s.reader.Next()
 	if err == nil {
+		if s.eventTimer != nil {
+			s.eventTimer.Reset(s.eventTimeout)
+		}
 		return ev, nil
 	}
-	if s.timedOut.Load() {
-		return Event{}, &IdleTimeoutError{timeout: s.idleTimeout}
+	if timeout := time.Duration(s.expired.Load()); timeout > 0 {
+		return Event{}, &IdleTimeoutError{timeout: timeout}
 	}
 	if errors.Is(err, io.ErrUnexpectedEOF) {
 		err = io.EOF
@@ -56,9 +80,18 @@
 // Buffered reports whether at least a part of the next event was received.
 func (s *httpStream) Buffered() bool { return s.reader.Buffered() }
 
+// restartIdleTimer starts the idle timeout anew after bytes were received.
+func (s *httpStream) restartIdleTimer() {
+	s.receiving.Store(true)
+	s.timer.Reset(s.idleTimeout)
+}
+
 // Close implements Stream.
 func (s *httpStream) Close() {
 	s.timer.Stop()
+	if s.eventTimer != nil {
+		s.eventTimer.Stop()
+	}
 	s.cancel()
 	_ = s.body.Close()
 }
@@ -73,8 +106,8 @@
 // Read implements io.Reader.
 func (a *activityReader) Read(b []byte) (int, error) {
 	n, err := a.r.Read(b)
-	if n > 0 && !a.stream.timedOut.Load() {
-		a.stream.timer.Reset(a.stream.idleTimeout)
+	if n > 0 && a.stream.expired.Load() == 0 {
+		a.stream.restartIdleTimer()
 	}
 	return n, err
 }
--- a/cmd/router/courier/service.go
+++ b/cmd/router/courier/service.go
@@ -60,16 +60,17 @@
 
 // HTTPService implements Service.
 type HTTPService struct {
-	pooled   *reception.Client
+	verified *verifiedClient
 	unpooled *reception.Client
 	report   *reception.Client
 }
 
 // NewHTTPService returns a client of services. Calls with AtMostOnce set use
 // unpooled, which opens a new connection for each, since on a pooled one the
-// transport may send a request again.
+// transport may send a request again. Other calls use pooled for targets that return
+// the ids of requests.
 func NewHTTPService(pooled, unpooled, report *reception.Client) *HTTPService {
-	return &HTTPService{pooled: pooled, unpooled: unpooled, report: report}
+	return &HTTPService{verified: newVerifiedClient(pooled, unpooled), unpooled: unpooled, report: report}
 }
 
 // Call implements Service.
@@ -84,17 +85,17 @@
 	if c.Key != "" {
 		r.Header.Set(IdempotencyHeader, c.Key)
 	}
-	client := s.pooled
+	send := s.verified.do
 	if c.AtMostOnce {
 		r.GetBody = nil
-		client = s.unpooled
+		send = s.unpooled.DoRequest
 	}
 	if c.BeforeSend != nil {
 		if err := c.BeforeSend(); err != nil {
 			return ServiceResponse{}, &UnsentError{cause: err}
 		}
 	}
-	return roundTrip(client, r)
+	return roundTrip(send, r)
 }
 
 // Outcome implements Service.
@@ -105,7 +106,7 @@
 		return ServiceResponse{}, fmt.Errorf("HTTPService.Outcome: %w", err)
 	}
 	r.Header.Set(WorkspaceHeader, workspace)
-	a, err := roundTrip(s.pooled, r)
+	a, err := roundTrip(s.verified.do, r)
 	if err == nil && a.Status != http.StatusOK {
 		return ServiceResponse{}, &StatusError{status: a.Status}
 	}
@@ -121,8 +122,8 @@
 	return Report{Leaving: b.Leaving}, nil
 }
 
-func roundTrip(client *reception.Client, r *http.Request) (ServiceResponse, error) {
-	w, err := client.DoRequest(r)
+func roundTrip(send func(*http.Request) (*http.Response, error), r *http.Request) (ServiceResponse, error) {
+	w, err := send(r)
 	if err != nil {
 		return ServiceResponse{}, sendError(err)
 	}
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -137,7 +137,7 @@
 		countedClient("probes", meter.Probe), countedClient("documents", meter.Document),
 		countedClient("hand-over", meter.HandOver), reception.NewClient("relays"), cfg.PeerIdleTimeout())
 	reports := countedClient("reports", meter.EngineReport)
-	engines := courier.NewHTTPEngine(reception.NewClient("engines"), reports,
+	engines := courier.NewHTTPEngine(reception.NewClient("engines", courier.EngineConnections()), reports,
 		countedClient("cache-events", meter.CacheEvents), cfg.FirstTokenTimeout(), cfg.EngineIdleTimeout())
 	calls := courier.NewHTTPService(reception.NewClient("services"),
 		reception.NewClient("services-once", reception.WithoutConnectionReuse()), reports)
--- a/cmd/standin/service/service.go
+++ b/cmd/standin/service/service.go
@@ -17,6 +17,7 @@
 	maxBodyBytes    = 1 << 20
 	workspaceHeader = "Vanillalug-Workspace"
 	keyHeader       = "Idempotency-Key"
+	requestHeader   = "Vanillalug-Request-Id"
 )
 
 // Service is one application worker. It does not deduplicate by key: every call
@@ -90,6 +91,7 @@
 		return
 	}
 	w.Header().Set("X-Worker", s.name)
+	returnRequestID(w, r)
 	reception.WriteJSON(w, http.StatusCreated, resp)
 }
 
@@ -121,9 +123,17 @@
 		http.Error(w, "not known", http.StatusNotFound)
 		return
 	}
+	returnRequestID(w, r)
 	reception.WriteJSON(w, http.StatusOK, a)
 }
 
+// returnRequestID returns the id of the request, so that its connection is reused.
+func returnRequestID(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(requestHeader); id != "" {
+		w.Header().Set(requestHeader, id)
+	}
+}
+
 func (s *Service) getEffects(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	raw, err := json.Marshal(s.effects)
