Give requests accepted at the end of draining the rest of the drain limit

Cause: a router of our own interface stops its servers once no request is in flight, and gave them 2 s: a request that was accepted between the two, or on a connection that was kept, was cut off after 2 s when it took longer. Callers also kept their connections to a draining router.

Change: the servers of callers and peers have what is left of drain-limit; responses of a draining router close their connection.

--- a/cmd/router/handlers/callers.go
+++ b/cmd/router/handlers/callers.go
@@ -57,6 +57,10 @@
 // limits the body, writes problems and counts responses.
 func (c *CallerAPI) authenticated(next handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if c.router.Draining() {
+			// The caller's next request goes to another router.
+			w.Header().Set("Connection", "close")
+		}
 		ws, p := c.authenticate(w, r)
 		if p == nil {
 			r.Body = http.MaxBytesReader(w, r.Body, int64(c.limits.MaxBodyBytes))
--- a/cmd/router/office/drain.go
+++ b/cmd/router/office/drain.go
@@ -34,6 +34,9 @@
 	return finished
 }
 
+// Draining reports whether the router is being taken out of service.
+func (r *Router) Draining() bool { return r.draining.Load() }
+
 // wait reports whether the duration passed before the context ended.
 func wait(ctx context.Context, d time.Duration) bool {
 	select {
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -74,14 +74,9 @@
 // shutdown waits for the requests in flight, up to the drain timeout, before it
 // closes the listeners.
 func shutdown(cfg *settings.Settings, router *office.Router, l *listeners, log hclog.Logger) int {
-	ctx, done := context.WithTimeout(context.Background(), cfg.DrainTimeout())
-	defer done()
-	finished := router.Drain(ctx, cfg.BalancerDelay())
-	ctx, done = context.WithTimeout(context.Background(), shutdownTimeout)
-	defer done()
-	for _, s := range []*reception.Server{l.callers, l.peers, l.operators} {
-		_ = s.Shutdown(ctx)
-	}
+	drain := func(ctx context.Context) bool { return router.Drain(ctx, cfg.BalancerDelay()) }
+	finished := drainServers(cfg.DrainTimeout(), drain, l.callers, l.peers)
+	stopServer(l.operators, log)
 	if !finished {
 		log.Warn("stopped at the drain limit", "open-requests", router.InFlight())
 		return exitOpenRequests
@@ -90,6 +85,30 @@
 	return 0
 }
 
+// drainServers waits until drain returns and stops the servers. Requests that were
+// accepted meanwhile have the rest of the timeout. It reports whether no request was
+// cut off.
+func drainServers(timeout time.Duration, drain func(context.Context) bool, servers ...*reception.Server) bool {
+	ctx, done := context.WithTimeout(context.Background(), timeout)
+	defer done()
+	finished := drain(ctx)
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			finished = false
+		}
+	}
+	return finished
+}
+
+// stopServer stops a server whose requests may be cut off.
+func stopServer(s *reception.Server, log hclog.Logger) {
+	ctx, done := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer done()
+	if err := s.Shutdown(ctx); err != nil {
+		log.Warn("requests of operators were cut off", "error", err)
+	}
+}
+
 func listen(cfg *settings.Settings) (*listeners, error) {
 	opts := []reception.ServerOption{
 		reception.WithMaxConns(hardLimitFactor * cfg.MaxConns()),
