Soak: the store comes back old, targets state that they leave or want no requests

The soak restores the fake store from a copy up to 4 s old now and then and writes again within a second what it lacks; removed targets may state first that they are leaving; a fault makes a target reject with a Retry-After. Checked by router: nothing later than 2 s after a target stated that it was leaving, at most two requests in the time for which it wanted none. A restore counts as no fault, so the limits for versions and removed targets hold through it.

--- a/cmd/soak/fleet/check.go
+++ b/cmd/soak/fleet/check.go
@@ -78,6 +78,7 @@
 			violations = append(violations, fmt.Sprintf("%s exited %d times unexpectedly", r.Name, n))
 		}
 	}
+	violations = append(violations, h.checkStated(targets)...)
 	return append(violations, h.checkRemoved()...)
 }
 
--- a/cmd/soak/fleet/faults.go
+++ b/cmd/soak/fleet/faults.go
@@ -25,7 +25,7 @@
 type fault func(h *Harness, random *rand.Rand) (name string, undo func())
 
 // faults are the faults that InjectFaults chooses from.
-var faults = []fault{killRouter, stopRouter, pauseRouter, reloadRouter, disruptCallers, disruptStoreLink, failStore, corruptTarget, closeTargetConns, compactStore}
+var faults = []fault{killRouter, stopRouter, pauseRouter, reloadRouter, disruptCallers, disruptStoreLink, failStore, corruptTarget, closeTargetConns, compactStore, pauseTarget}
 
 // InjectFaults injects faults, which may overlap, until the end time. The choice
 // of faults and times depends on the random numbers only.
@@ -116,6 +116,19 @@
 	return fmt.Sprintf("%s: %s", t.ID, b), func() { t.SetDefault(platformtest.Serve) }
 }
 
+// pauseTarget makes a target reject requests and ask for a pause that is longer than
+// the fault.
+func pauseTarget(h *Harness, random *rand.Rand) (string, func()) {
+	t := h.randomTarget(random)
+	pause := []string{"0.8", "2", "4.5"}[random.IntN(3)]
+	t.SetRetryAfter(pause)
+	t.SetDefault(platformtest.Shed)
+	return fmt.Sprintf("%s wants no requests for %s s", t.ID, pause), func() {
+		t.SetDefault(platformtest.Serve)
+		t.SetRetryAfter("")
+	}
+}
+
 func closeTargetConns(h *Harness, random *rand.Rand) (string, func()) {
 	t := h.randomTarget(random)
 	t.CloseConns()
--- a/cmd/soak/fleet/harness.go
+++ b/cmd/soak/fleet/harness.go
@@ -38,10 +38,16 @@
 	store   *platformtest.Store
 	tracker *FaultTracker
 
-	mu         sync.Mutex
-	targets    []*platformtest.Target
-	all        []*platformtest.Target
-	removed    map[*platformtest.Target]time.Time
+	// registryMu serializes changes of the registry and of the routing table.
+	registryMu sync.Mutex
+	backups    []platformtest.Backup
+
+	mu      sync.Mutex
+	targets []*platformtest.Target
+	all     []*platformtest.Target
+	removed map[*platformtest.Target]time.Time
+	// draining holds the removed targets whose entries stay.
+	draining   map[*platformtest.Target]bool
 	events     []string
 	version    int
 	lastTarget int
@@ -53,8 +59,9 @@
 func NewHarness(bin, dir string, size Size) (*Harness, error) {
 	h := &Harness{
 		CallLog: &CallLog{}, store: platformtest.NewStore(), tracker: &FaultTracker{},
-		removed: map[*platformtest.Target]time.Time{}, start: time.Now(),
+		removed: map[*platformtest.Target]time.Time{}, draining: map[*platformtest.Target]bool{}, start: time.Now(),
 	}
+	h.store.SetEpoch(1)
 	h.publish()
 	for range size.Targets {
 		for _, service := range []string{plainService, engineService} {
@@ -157,10 +164,17 @@
 // publish writes the next version of the routing table. Each version has a route
 // of its own, which shows whether a router has activated it.
 func (h *Harness) publish() {
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
 	h.mu.Lock()
 	h.version++
 	v := h.version
 	h.mu.Unlock()
+	h.putVersion(v)
+	h.record(fmt.Sprintf("version %d", v))
+}
+
+func (h *Harness) putVersion(v int) {
 	timeout := int(callTimeout.Milliseconds())
 	route := func(prefix, kind, service string, resumable bool) platformtest.Route {
 		return platformtest.Route{Prefix: prefix, Kind: kind, Service: service, Attempts: 2, TimeoutMS: timeout, Resumable: resumable}
@@ -171,7 +185,6 @@
 		route("/stream/", platformtest.Streaming, engineService, true),
 		route("/broken/", platformtest.Streaming, engineService, false),
 		route(versionPath(v), platformtest.Idempotent, plainService, false)))
-	h.record(fmt.Sprintf("version %d", v))
 }
 
 func versionPath(v int) string { return fmt.Sprintf("/version-%d/", v) }
@@ -185,6 +198,8 @@
 	if err != nil {
 		return err
 	}
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
 	h.mu.Lock()
 	h.targets = append(h.targets, t)
 	h.all = append(h.all, t)
@@ -194,7 +209,7 @@
 }
 
 // replaceTarget starts a new target and drains or deregisters an old one of the
-// same service.
+// same service, which may state first in its responses that it is leaving.
 func (h *Harness) replaceTarget(random *rand.Rand) error {
 	old := h.randomTarget(random)
 	if err := h.addTarget(old.Service); err != nil {
@@ -209,13 +224,17 @@
 	}
 	h.mu.Unlock()
 	if random.IntN(2) == 0 {
-		h.store.PutJSON("servers", old.ID, old.Entry("draining"))
-	} else {
-		h.store.Delete("servers", old.ID)
+		old.SetLeaving(true)
+		h.record(old.ID + " states that it is leaving")
+		time.Sleep(changeInterval)
 	}
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
 	h.mu.Lock()
+	h.draining[old] = random.IntN(2) == 0
 	h.removed[old] = time.Now()
 	h.mu.Unlock()
+	h.putRemoved(old)
 	h.record(old.ID + " removed")
 	return nil
 }
--- a/cmd/soak/fleet/router.go
+++ b/cmd/soak/fleet/router.go
@@ -37,6 +37,8 @@
 	stopped        bool
 	exits          int
 	requestedExits int
+	// disruptions are the times of signals that end, pause or resume the process.
+	disruptions []time.Time
 }
 
 // NewRouter writes the settings of a router and starts its proxies, but not the
@@ -128,9 +130,25 @@
 	if s == syscall.SIGTERM || s == syscall.SIGKILL {
 		r.requestedExits++
 	}
+	if s != syscall.SIGHUP {
+		r.disruptions = append(r.disruptions, time.Now())
+	}
 	_ = r.process.Signal(s)
 }
 
+// DisruptedBetween reports whether the process was stopped, paused or resumed
+// between the two times, or may still have been then.
+func (r *Router) DisruptedBetween(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, at := range r.disruptions {
+		if at.After(from.Add(-maxFault)) && at.Before(to) {
+			return true
+		}
+	}
+	return false
+}
+
 // PID returns the id of the process, or false if none runs.
 func (r *Router) PID() (pid int, ok bool) {
 	r.mu.Lock()
--- a/cmd/soak/fleet/run.go
+++ b/cmd/soak/fleet/run.go
@@ -15,6 +15,9 @@
 	// to serve after all faults have ended.
 	minServedRatio = 0.9
 	finalCalls     = 20
+	// restoreStream is the stream of random numbers of RestoreStore; those of callers
+	// are lower.
+	restoreStream = 1 << 20
 )
 
 // Report is the result of a run.
@@ -47,6 +50,7 @@
 	var probeViolations []string
 	var reconfigureErr error
 	others.Go(func() { probeViolations = h.ProbeVersions(stop) })
+	others.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
 	others.Go(func() { reconfigureErr = h.Reconfigure(rand.New(rand.NewPCG(seed, 1)), end) })
 	h.InjectFaults(rand.New(rand.NewPCG(seed, 0)), end)
 	h.AwaitQuiet(quietPeriod)
