--- a/cmd/vanillalug/explain_test.go
+++ b/cmd/vanillalug/explain_test.go
@@ -15,6 +15,9 @@
 {"@level":"info","@message":"attempt","@module":"router","@timestamp":"2026-12-04T02:00:06.000000Z","error":"read: connection reset","outcome":"no answer","request":"id-1","router":"r1","target":"p1/1"}
 {"@level":"info","@message":"request","@module":"router","@timestamp":"2026-12-04T02:00:06.500000Z","ms":700,"outcome":"target gave no answer","ran":true,"request":"id-1","router":"r1","status":502,"target":"p1/1","version":7}
 {"@level":"info","@message":"request","@module":"router","@timestamp":"2026-12-04T02:00:06.400000Z","ms":7,"outcome":"answered","request":"id-2","router":"r1","status":200}
+{"@level":"info","@message":"target wants no requests","@module":"router","@timestamp":"2026-12-04T02:00:07.000000Z","for":"2s","request":"id-8","router":"r1","service":"booking","target":"p3/1"}
+{"@level":"info","@message":"target wants no requests","@module":"router","@timestamp":"2026-12-04T02:00:07.000000Z","for":"2s","request":"id-7","router":"r1","service":"models","target":"e3/1"}
+{"@level":"info","@message":"request","@module":"router","@timestamp":"2026-12-04T02:00:07.400000Z","ms":1,"outcome":"targets want no requests","request":"id-4","router":"r1","service":"booking","status":503}
 no JSON
 `
 
@@ -36,6 +39,11 @@
 			[]string{"target left reason=leaving", "no answer", "status 502", "a target may have run it", "1 sends failed"},
 			[]string{"id-2", "p9/1", "lost the store", "r2"},
 		},
+		"rejected without a target": {
+			[]string{"explain", "id-4", file}, 0,
+			[]string{"target wants no requests for=2s request=id-8", "target=p3/1", "no target has run it"},
+			[]string{"e3/1", "id-7"},
+		},
 		"longer -before": {[]string{"explain", "-before", "2h", "id-1", file}, 0, []string{"lost the store"}, nil},
 		"not found":      {[]string{"explain", "id-3", file}, exitFailure, []string{"no line of these logs"}, nil},
 		"no log":         {[]string{"explain", "id-1"}, exitUsage, []string{"want an id"}, nil},
--- a/cmd/vanillalug/log_line.go
+++ b/cmd/vanillalug/log_line.go
@@ -90,12 +90,18 @@
 	return b.String()
 }
 
+// stateChange reports whether the line is about the state of a router or of a target;
+// its request, if it has one, is the one at which the router noticed it.
+func (l logLine) stateChange() bool {
+	return l.Message != messageAttempt && l.Message != messageRequest
+}
+
 // selectLines returns the lines about the request, in time order, with those of
-// the same routers from "before" its first line to its last that are about its
-// targets or name neither a request nor a target.
+// the same routers from "before" its first line to its last on changes of state: of its
+// targets, of every target of its service if it had none, and of the router.
 func selectLines(id string, lines []logLine, before time.Duration) []logLine {
 	var first, last time.Time
-	routers, targets := map[string]bool{}, map[string]bool{}
+	routers, targets, services := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, l := range lines {
 		if l.field("request") != id {
 			continue
@@ -108,12 +114,16 @@
 		}
 		routers[l.Router] = true
 		targets[l.field("target")] = true
+		if l.field("target") == "" && l.field("service") != "" {
+			services[l.field("service")] = true
+		}
 	}
 	var out []logLine
 	for _, l := range lines {
 		ofRequest := l.field("request") == id
 		inWindow := routers[l.Router] && !l.At.Before(first.Add(-before)) && !l.At.After(last)
-		if ofRequest || inWindow && l.field("request") == "" && (l.field("target") == "" || targets[l.field("target")]) {
+		concerned := l.field("target") == "" || targets[l.field("target")] || services[l.field("service")]
+		if ofRequest || inWindow && l.stateChange() && concerned {
 			out = append(out, l)
 		}
 	}
