Read responses whole or not at all; a test for large routing tables

An object or a row list of our own interface's store over 8 MiB was cut at the limit and passed on as complete. reception.ReadBody returns an error instead; services' responses use it too.

--- a/cmd/router/courier/errors.go
+++ b/cmd/router/courier/errors.go
@@ -40,7 +40,7 @@
 // Error implements error.
 func (e *UnsentError) Error() string { return fmt.Sprintf("not sent: %v", e.cause) }
 
-// TooLargeError reports an event or a response over the size limit.
+// TooLargeError reports an event over the size limit.
 type TooLargeError struct{ limit int }
 
 // Limit returns the limit in bytes.
--- a/cmd/router/courier/service.go
+++ b/cmd/router/courier/service.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -128,13 +127,10 @@
 		return ServiceResponse{}, sendError(err)
 	}
 	defer func() { _ = w.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(w.Body, MaxResponseBytes+1))
+	body, err := reception.ReadBody(w.Body, MaxResponseBytes)
 	if err != nil {
 		return ServiceResponse{}, fmt.Errorf("roundTrip: %w", err)
 	}
-	if len(body) > MaxResponseBytes {
-		return ServiceResponse{}, &TooLargeError{limit: MaxResponseBytes}
-	}
 	return ServiceResponse{Status: w.StatusCode, Header: forwardedHeaders(w.Header), Body: body}, nil
 }
 
--- a/cmd/router/gateway/peers_test.go
+++ b/cmd/router/gateway/peers_test.go
@@ -10,6 +10,7 @@
 
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
+	"vanillalug.example/platform/platformtest"
 	"vanillalug.example/schedule"
 )
 
@@ -88,3 +89,31 @@
 	}
 	require.NotEmpty(t, targets[0].Executions())
 }
+
+// TestLargeTableIsReadFromStore checks that a peer sends a large routing table only
+// when it is asked to, as the links between routers are narrow.
+func TestLargeTableIsReadFromStore(t *testing.T) {
+	const many = 400
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	table := routes()
+	for i := range many {
+		table = append(table, platformtest.Route{Prefix: "/" + name("more", i) + "/", Kind: platformtest.Idempotent, Service: plainService, Attempts: 1, TimeoutMS: 2000})
+	}
+	store.PutJSON("op", "config", platformtest.RoutingTable(1, []string{testKey}, table...))
+	a, b := newTestRouterAt(t, store, "a"), newTestRouterAt(t, store, "b")
+	for _, tr := range []*testRouter{a, b} {
+		require.Eventually(t, func() bool { return tr.tableVersion() == 1 }, waitTimeout, pollInterval)
+	}
+	for insist, sent := range map[bool]bool{false: false, true: true} {
+		reply, err := a.g.GetBeliefs(t.Context(), &peer.GetBeliefsRequest{Insist: insist})
+		require.NoError(t, err)
+		require.Equal(t, uint64(1), reply.PlanVersion)
+		require.Equal(t, sent, len(reply.Plan) > 0)
+	}
+	store.PutJSON("op", "config", platformtest.RoutingTable(2, []string{testKey}, table...))
+	for _, tr := range []*testRouter{a, b} {
+		require.Eventually(t, func() bool { return tr.tableVersion() == 2 }, waitTimeout, pollInterval)
+		require.NotContains(t, tr.logs.String(), `"source":"peer`)
+	}
+}
--- a/cmd/vanillalug/explain_test.go
+++ b/cmd/vanillalug/explain_test.go
@@ -40,7 +40,8 @@
 			[]string{"id-2", "p9/1", "lost the store", "r2"},
 		},
 		"rejected without a target": {
-			[]string{"explain", "id-4", file}, 0,
+			[]string{"explain", "id-4", file},
+			0,
 			[]string{"target wants no requests for=2s request=id-8", "target=p3/1", "no target has run it"},
 			[]string{"e3/1", "id-7"},
 		},
--- a/depot/client.go
+++ b/depot/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -185,7 +184,7 @@
 		return 0, nil, nil, NewUnavailableError(op, !reception.IsDialError(err), err)
 	}
 	defer func() { _ = w.Body.Close() }()
-	raw, err = io.ReadAll(io.LimitReader(w.Body, maxResponseBytes))
+	raw, err = reception.ReadBody(w.Body, maxResponseBytes)
 	if err != nil {
 		return 0, nil, nil, NewUnavailableError(op, true, err)
 	}
