--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -160,7 +160,7 @@
 		calls.Go(func() (err error) {
 			replies[i], err = g.callPeer(ctx, address, current, &peer.GetBeliefsRequest{Insist: true})
 			if err != nil {
-				g.log.Warn("a seed did not tell what it knows", "peer", address.String(), "error", err)
+				g.log.Warn("cannot get the state of a seed", "peer", address.String(), "error", err)
 			}
 			return nil
 		})
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -48,9 +48,9 @@
 	repeatsLeft   int
 	versions      map[string]peerVersions
 	pending       []pendingPlacement
-	// lackingSince is since when too few peers get responses from the store; the
+	// shortageSince is since when too few peers get responses from the store; the
 	// zero time if enough do.
-	lackingSince time.Time
+	shortageSince time.Time
 }
 
 // peerRouter is another router.
@@ -164,20 +164,20 @@
 	return p.clock.Now().Add(-max(p.ttl(), minLoadTTL))
 }
 
-// lackingFollowers returns how long too few peers have got responses from the store;
-// lacking says whether that is so now.
-func (p *peers) lackingFollowers(lacking bool) time.Duration {
+// followerShortage returns how long too few peers have got responses from the store;
+// tooFew says whether that is so now.
+func (p *peers) followerShortage(tooFew bool) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	if !lacking {
-		p.lackingSince = time.Time{}
+	if !tooFew {
+		p.shortageSince = time.Time{}
 		return 0
 	}
-	if p.lackingSince.IsZero() {
-		p.lackingSince = now
+	if p.shortageSince.IsZero() {
+		p.shortageSince = now
 	}
-	return now.Sub(p.lackingSince)
+	return now.Sub(p.shortageSince)
 }
 
 // ttl returns the time in which each peer sends two shares, plus a margin.
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -101,7 +101,7 @@
 // followsStore reports whether this router polls the store itself.
 func (g *Gateway) followsStore() bool {
 	alive := g.peers.alive()
-	return rota.FollowsStore(g.cfg.Name, alive, g.peers.lackingFollowers(rota.Lacking(alive)))
+	return rota.FollowsStore(g.cfg.Name, alive, g.peers.followerShortage(rota.TooFewFollowers(alive)))
 }
 
 // advance records that all changes up to a revision were received from a peer, or the
--- a/crew/view.go
+++ b/crew/view.go
@@ -232,7 +232,7 @@
 		next.inherit(old)
 	}
 	if known && old.target.Incarnation() != next.target.Incarnation() {
-		v.bury(old, now)
+		v.addTombstone(old, now)
 	}
 	if !next.takesWork() {
 		next.unconfirmed = false
@@ -247,7 +247,7 @@
 	return transition(old, next)
 }
 
-// bury remembers the incarnation of an entry that is removed or replaced.
-func (v *View) bury(e *entry, now time.Time) {
+// addTombstone remembers the incarnation of an entry that is removed or replaced.
+func (v *View) addTombstone(e *entry, now time.Time) {
 	v.tombstones.add(tombstone{target: e.target, revision: v.revision, final: e.final(), at: now})
 }
--- a/crew/view_unconfirmed.go
+++ b/crew/view_unconfirmed.go
@@ -37,7 +37,7 @@
 
 // drop removes an entry from the view and remembers its incarnation.
 func (v *View) drop(e *entry, now time.Time, reason string) []Effect {
-	v.bury(e, now)
+	v.addTombstone(e, now)
 	v.unset(e.target.id)
 	if !e.takesWork() {
 		return nil
--- a/rota/rota.go
+++ b/rota/rota.go
@@ -32,18 +32,18 @@
 }
 
 // FollowsStore reports whether the router follows the store itself. The first
-// routers in hash order do, more of them in larger fleets. lacking is how long
-// Lacking has been true: the store may reject just those routers, so others join
+// routers in hash order do, more of them in larger fleets. shortage is how long
+// TooFewFollowers has been true: the store may reject just those routers, so others join
 // them, or it is out, so they join one after the other.
-func FollowsStore(self string, peers []Peer, lacking time.Duration) bool {
+func FollowsStore(self string, peers []Peer, shortage time.Duration) bool {
 	names := hashOrder(self, peers)
-	doublings := min(lacking/takeoverInterval, maxTakeovers)
+	doublings := min(shortage/takeoverInterval, maxTakeovers)
 	return slices.Index(names, self) < followerCount(len(names))<<doublings
 }
 
-// Lacking reports whether too few peers get responses from the store to rely on
+// TooFewFollowers reports whether too few peers get responses from the store to rely on
 // them.
-func Lacking(peers []Peer) bool {
+func TooFewFollowers(peers []Peer) bool {
 	following := 0
 	for _, p := range peers {
 		if p.Following {
--- a/rota/rota_test.go
+++ b/rota/rota_test.go
@@ -63,7 +63,7 @@
 					received = append(received, Peer{Name: other, Following: follows[other]})
 				}
 			}
-			if Lacking(received) {
+			if TooFewFollowers(received) {
 				require.True(t, FollowsStore(self, received, takeoverInterval*maxTakeovers))
 			}
 			if self == FirstRouter(self, received) {
@@ -82,7 +82,7 @@
 		count := 0
 		for _, self := range all {
 			peers := peersOf(all, self, never)
-			require.True(t, Lacking(peers))
+			require.True(t, TooFewFollowers(peers))
 			if FollowsStore(self, peers, time.Duration(step)*takeoverInterval) {
 				count++
 			}
