--- a/cmd/vanillalug/explain.go
+++ b/cmd/vanillalug/explain.go
@@ -42,13 +42,9 @@
 		return exitUsage
 	}
 	id := c.flags.Arg(0)
-	var lines []logLine
-	for _, file := range c.flags.Args()[1:] {
-		found, err := readLogFile(file)
-		if err != nil {
-			return c.fail(exitUsage, err)
-		}
-		lines = append(lines, found...)
+	lines, err := readLogFiles(c.flags.Args()[1:])
+	if err != nil {
+		return c.fail(exitUsage, err)
 	}
 	selected := selectLines(id, lines, *before)
 	if len(selected) == 0 {
@@ -66,6 +62,19 @@
 	return 0
 }
 
+// readLogFiles returns the lines of all files.
+func readLogFiles(files []string) ([]logLine, error) {
+	var out []logLine
+	for _, file := range files {
+		lines, err := readLogFile(file)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, lines...)
+	}
+	return out, nil
+}
+
 func readLogFile(file string) ([]logLine, error) {
 	f, err := os.Open(file)
 	if err != nil {
--- a/cmd/vanillalug/log_line.go
+++ b/cmd/vanillalug/log_line.go
@@ -51,7 +51,7 @@
 		return logLine{}, false
 	}
 	at, err := time.Parse(time.RFC3339, l.field("@timestamp"))
-	if err != nil {
+	if err != nil && l.field("@message") != messageLeftOut {
 		return logLine{}, false
 	}
 	l.At = at
