--- a/cmd/router/gateway/target_state_test.go
+++ b/cmd/router/gateway/target_state_test.go
@@ -55,6 +55,17 @@
 	}
 }
 
+// TestLeavingStatedInStrayResponse checks that a target is not used any more that
+// stated that it is leaving only in a response to another request.
+func TestLeavingStatedInStrayResponse(t *testing.T) {
+	tr := newTestRouter(t)
+	target := tr.addTargets(plainService, "p1")[0]
+	tr.waitReady(1)
+	target.Enqueue(platformtest.LeavingInStray)
+	require.Equal(t, "done a", tr.post("/once/x", "a", "work").body)
+	tr.waitReady(0)
+}
+
 // TestLeavingAndRestarted checks that the next incarnation of a target that stated that
 // it is leaving is used.
 func TestLeavingAndRestarted(t *testing.T) {
