--- a/fitting/simulation_test.go
+++ b/fitting/simulation_test.go
@@ -109,3 +109,32 @@
 		require.False(t, math.IsNaN(r.ServedShare()))
 	})
 }
+
+// TestSimulatedLargeFleet checks the load bound at the size of the users' large fleet,
+// where the loads of peers are up to 1.8 s old: at most 3 in 100 requests go to an
+// engine above twice the mean load plus three.
+func TestSimulatedLargeFleet(t *testing.T) {
+	tests := map[string]enginetest.Pattern{
+		"steady":     {},
+		"surge":      {SurgeFactor: 3},
+		"hot prompt": {HotPromptShare: 0.3},
+	}
+	for name, p := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := enginetest.Simulate(enginetest.LargeDeployment(), p, 1, enginetest.CostBased)
+			t.Logf("%d of %d over the limit, in time %.3f, prefilled again %d", r.OverLimit, r.Sends, r.InTimeShare(), r.ReprefilledTokens)
+			require.LessOrEqual(t, r.OverLimit, 3*r.Sends/100)
+		})
+	}
+}
+
+// TestSpreadHotPrompts checks that spreading hot prompts helps where the router's own
+// policy does not keep the bound.
+func TestSpreadHotPrompts(t *testing.T) {
+	p := enginetest.Pattern{HotPromptShare: 0.3}
+	chosen := enginetest.Simulate(enginetest.LargeDeployment(), p, 1, enginetest.CostBased)
+	spread := enginetest.Simulate(enginetest.LargeDeployment(), p, 1, enginetest.SpreadHotPrompts)
+	require.Less(t, spread.OverLimit, chosen.OverLimit)
+	require.Greater(t, spread.InTimeShare(), chosen.InTimeShare())
+}
--- a/lugtest/enginetest/caller.go
+++ b/lugtest/enginetest/caller.go
@@ -68,7 +68,7 @@
 	}
 	prompt, _ := work.PromptKey()
 	cached := router.cacheIndex.Cached(prompt, keys, s.clockTime())
-	loads := router.loads.Loads(keys, s.clockTime().Add(-3*shareInterval))
+	loads := router.loads.Loads(keys, s.clockTime().Add(-s.deployment.loadTTL()))
 	for i, e := range engines {
 		out = append(out, fitting.Candidate{Target: e.target, Load: loads[i], Cached: cached[i]})
 	}
--- a/lugtest/enginetest/deployment.go
+++ b/lugtest/enginetest/deployment.go
@@ -23,6 +23,9 @@
 // Deployment describes the simulated routers, engines and load.
 type Deployment struct {
 	Routers, Engines int
+	// ShareGroups is the number of groups into which a router divides its peers; one
+	// group gets its loads in each interval. 0 means 1.
+	ShareGroups int
 	// Slots is the batch size of an engine, Queue the capacity of its queue.
 	Slots, Queue int
 	// Step is the duration of a decoding step with an empty batch, StepPerSlot
@@ -35,6 +38,12 @@
 	Classes []Class
 }
 
+// loadTTL returns the time in which a router gets two messages from each peer, and a
+// margin.
+func (d Deployment) loadTTL() time.Duration {
+	return time.Duration(2*max(d.ShareGroups, 1)+1) * shareInterval
+}
+
 // Pattern is a load pattern.
 type Pattern struct {
 	// LoadFactor multiplies all rates; 0 means 1.
@@ -69,3 +78,18 @@
 		},
 	}
 }
+
+// LargeDeployment has the size of the users' large deployment. A peer's loads are up to
+// 1.8 s old, as the real router sends them to 24 peers in an interval.
+func LargeDeployment() Deployment {
+	return Deployment{
+		Routers: 195, Engines: 124, ShareGroups: 9, Slots: 12, Queue: 36,
+		Step: 3790 * time.Microsecond, StepPerSlot: 89300 * time.Nanosecond,
+		PrefillRate: 56, CopyRate: 1220, Ranks: 3,
+		Classes: []Class{
+			{"long", 132, 10512, 1300, 300, 385, 800 * time.Millisecond, 4800 * time.Millisecond, 12 * time.Second},
+			{"answer", 126, 699, 130, 300, 294, time.Second, 4800 * time.Millisecond, 10 * time.Second},
+			{"short", 235, 2041, 360, 300, 21, 1500 * time.Millisecond, 3 * time.Second, 3 * time.Second},
+		},
+	}
+}
--- a/lugtest/enginetest/simulation.go
+++ b/lugtest/enginetest/simulation.go
@@ -63,7 +63,7 @@
 			name: "r" + strconv.Itoa(i), loads: fitting.NewLoadTable(), cacheIndex: fitting.NewCacheIndex(),
 			serviceTimes: fitting.NewServiceTimes(), overload: fitting.NewOverloadTracker(), policy: policy(),
 		})
-		s.after(time.Duration(i)*shareInterval/time.Duration(d.Routers), func() { s.shareLoads(i) })
+		s.after(time.Duration(i)*shareInterval/time.Duration(d.Routers), func() { s.shareLoads(i, i) })
 	}
 	s.scheduleFaults()
 	for _, c := range d.Classes {
@@ -112,15 +112,16 @@
 // clockTime returns the simulated time of day.
 func (s *simulation) clockTime() time.Time { return s.start.Add(s.now) }
 
-// shareLoads sends a router's own loads to its peers.
-func (s *simulation) shareLoads(i int) {
+// shareLoads sends a router's own loads to the peers whose turn it is.
+func (s *simulation) shareLoads(i, turn int) {
+	groups := max(s.deployment.ShareGroups, 1)
 	own := s.routers[i].loads.Own()
 	for j, peer := range s.routers {
-		if i != j {
+		if i != j && j%groups == turn%groups {
 			peer.loads.SetPeer(s.routers[i].name, own, s.clockTime())
 		}
 	}
-	s.after(shareInterval, func() { s.shareLoads(i) })
+	s.after(shareInterval, func() { s.shareLoads(i, turn+1) })
 }
 
 // interarrivalTime returns the time until the next request of a class.
