Apply a peer's withdrawn targets at the start although its registry is older

A starting router asks a peer with the revision that it has then, none; if it reads the restored registry before the peer's reply comes, and the peer hasn't seen the restore yet, the reply counts as newer than what was asked with, and the view ignored it whole as older than what it has by now: the withdrawn targets with it. Ruled out: a peer that didn't know (it had them), the order of the readiness check (it waits for the reply).

Change: a reply at the start has its withdrawn targets applied by themselves.

--- a/cmd/router/gateway/restore_test.go
+++ b/cmd/router/gateway/restore_test.go
@@ -161,6 +161,30 @@
 	}
 }
 
+// TestReplyAtTheStartIsOlder checks that the withdrawn targets of a peer count although
+// this router has read the restored registry while the peer replied from before.
+func TestReplyAtTheStartIsOlder(t *testing.T) {
+	store := newStoreWithEpoch(t)
+	store.SetEpoch(2)
+	for _, id := range []string{"p1", "p2", "p3"} {
+		target, err := platformtest.NewTarget(id, plainService, false)
+		require.NoError(t, err)
+		t.Cleanup(target.Close)
+		store.PutJSON("servers", id, target.Entry("ready"))
+	}
+	tr := newTestRouterAt(t, store, "r1")
+	tr.waitUsable("p1", "p2", "p3")
+	asked := versions{}
+	tr.g.applyStartReply(&peer.GetBeliefsReply{
+		From: "a", RegistryEpoch: 1, RegistryRevision: 900,
+		Withdrawn: []*peer.WithdrawnTarget{
+			{Id: "p1", Born: 1, Sequence: 2, Epoch: 1, Revision: 890, Final: true},
+			{Id: "p2", Born: 1, Sequence: 1, Epoch: 1, Revision: 900, Written: 80},
+		},
+	}, netip.MustParseAddrPort("127.0.0.1:9"), asked)
+	tr.waitUsable("p3")
+}
+
 // TestStartAlone checks that a router whose peers don't respond is ready soon, and
 // at once if the store was never restored.
 func TestStartAlone(t *testing.T) {
--- a/cmd/router/gateway/store_epoch.go
+++ b/cmd/router/gateway/store_epoch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/crew"
 	"vanillalug.example/peer"
 )
 
@@ -108,12 +109,20 @@
 		g.log.Warn("a peer could not be asked at the start", "peer", address.String(), "error", err)
 		return nil
 	}
-	g.applyReply(reply, address, current)
+	g.applyStartReply(reply, address, current)
 	g.log.Info("peer asked at the start", "peer", reply.From, "version", reply.PlanVersion,
 		"withdrawn", len(reply.Withdrawn), "revision", registryRevision(reply))
 	return reply
 }
 
+// applyStartReply applies a peer's reply at the start. If this router has read the
+// registry meanwhile, the view ignores the peer's older one, but not the withdrawn
+// targets.
+func (g *Gateway) applyStartReply(reply *peer.GetBeliefsReply, address netip.AddrPort, current versions) {
+	g.applyReply(reply, address, current)
+	g.updateView(crew.Withdrawals{At: g.clock.Now(), Targets: withdrawnTargets(reply.Withdrawn)})
+}
+
 // listedRouters returns some of the routers that are registered in the store.
 func (g *Gateway) listedRouters(ctx context.Context) []netip.AddrPort {
 	if _, err := g.readRouters(ctx); err != nil {
