--- /dev/null
+++ b/cmd/soak/fleet/changes.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"vanillalug.example/platform/platformtest"
+)
+
+// Reconfigure publishes versions and replaces targets until the end time.
+func (h *Harness) Reconfigure(random *rand.Rand, end time.Time) error {
+	for time.Now().Before(end) {
+		time.Sleep(changeInterval/2 + time.Duration(random.Int64N(int64(changeInterval))))
+		h.publish()
+		if random.IntN(2) == 0 {
+			if err := h.replaceTarget(random); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// publish writes the next version of the routing table. Each version has a route
+// of its own, which shows whether a router has activated it.
+func (h *Harness) publish() {
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
+	h.mu.Lock()
+	h.version++
+	v := h.version
+	h.mu.Unlock()
+	h.putVersion(v)
+	h.record(fmt.Sprintf("version %d", v))
+}
+
+func (h *Harness) putVersion(v int) {
+	timeout := int(callTimeout.Milliseconds())
+	route := func(prefix, kind, service string, resumable bool) platformtest.Route {
+		return platformtest.Route{Prefix: prefix, Kind: kind, Service: service, Attempts: 2, TimeoutMS: timeout, Resumable: resumable}
+	}
+	h.store.PutJSON("op", "config", platformtest.RoutingTable(v, []string{APIKey},
+		route("/safe/", platformtest.Idempotent, plainService, false),
+		route("/once/", platformtest.NonIdempotent, plainService, false),
+		route("/stream/", platformtest.Streaming, engineService, true),
+		route("/broken/", platformtest.Streaming, engineService, false),
+		route(versionPath(v), platformtest.Idempotent, plainService, false)))
+}
+
+func versionPath(v int) string { return fmt.Sprintf("/version-%d/", v) }
+
+func (h *Harness) addTarget(service string) error {
+	h.mu.Lock()
+	h.lastTarget++
+	id := fmt.Sprintf("%s-%d", service, h.lastTarget)
+	h.mu.Unlock()
+	t, err := platformtest.NewTarget(id, service, service == engineService)
+	if err != nil {
+		return err
+	}
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
+	h.mu.Lock()
+	h.targets = append(h.targets, t)
+	h.all = append(h.all, t)
+	h.mu.Unlock()
+	h.store.PutJSON("servers", id, t.Entry("ready"))
+	return nil
+}
+
+// replaceTarget starts a new target and drains or deregisters an old one of the
+// same service, which may state first in its responses that it is leaving.
+func (h *Harness) replaceTarget(random *rand.Rand) error {
+	old := h.randomTarget(random)
+	if err := h.addTarget(old.Service); err != nil {
+		return err
+	}
+	h.mu.Lock()
+	for i, t := range h.targets {
+		if t == old {
+			h.targets = append(h.targets[:i:i], h.targets[i+1:]...)
+			break
+		}
+	}
+	h.mu.Unlock()
+	if random.IntN(2) == 0 {
+		old.SetLeaving(true)
+		h.record(old.ID + " states that it is leaving")
+		time.Sleep(changeInterval)
+	}
+	h.registryMu.Lock()
+	defer h.registryMu.Unlock()
+	h.mu.Lock()
+	h.draining[old] = random.IntN(2) == 0
+	h.removed[old] = time.Now()
+	h.mu.Unlock()
+	h.putRemoved(old)
+	h.record(old.ID + " removed")
+	return nil
+}
+
+func (h *Harness) randomTarget(random *rand.Rand) *platformtest.Target {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.targets[random.IntN(len(h.targets))]
+}
