--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -34,7 +34,7 @@
 			break
 		}
 	}
-	g.log.Info("routing table in force", "version", table.Version(), "source", source)
+	g.log.Info("routing table in force", "version", table.Version(), "source", source, "bytes", len(raw))
 }
 
 // applyTargetSnapshot replaces the view of the registry by all of its rows.
--- a/reception/client.go
+++ b/reception/client.go
@@ -95,9 +95,15 @@
 	return &Client{service: httpc.NewServiceWithClient(name, client), transport: t}
 }
 
-// DoRequest sends a request and returns the response.
+// DoRequest sends a request and returns the response. If reading its body fails, the
+// error is an *IncompleteBodyError.
 func (c *Client) DoRequest(r *http.Request) (*http.Response, error) {
-	return c.service.DoRequest(r)
+	resp, err := c.service.DoRequest(r)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &responseBody{ReadCloser: resp.Body}
+	return resp, nil
 }
 
 // Do is DoRequest under the name that Twirp clients require.
