Cut a response when it stops arriving, not when it is large

Cause: calls to the store and to peers had a time limit for the whole response, 0.7 s for a poll, 1.5 s for a page and a peer's reply, 0.6 s for a seed's. A table of 4,200 routes has 848 KB, 1.13 MB in the store's encoding: 0.9 s over a link of 10 Mbit/s without any other traffic. The response was dropped halfway and begun again, so the router's link was full for seconds without result, and callers' requests came late on it. A second report of the same version cancelled a response that was arriving, too.

A poll that is receiving isn't interrupted. Ruled out: slow routers (2 % of the processor), a slow store (routers on wide links had the table 0.3 s after it was written).

--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -13,6 +13,7 @@
 	"vanillalug.example"
 	"vanillalug.example/crew"
 	"vanillalug.example/peer"
+	"vanillalug.example/reception"
 )
 
 const (
@@ -26,14 +27,16 @@
 	largeTable = 48 << 10
 	// storeReadTime is how long the store may take for that.
 	storeReadTime = 500 * time.Millisecond
-	// peerCallTimeout is the timeout of a call to a peer.
+	// peerCallTimeout is how long a peer's reply may take to begin, and how long it may
+	// stop arriving.
 	peerCallTimeout = 1500 * time.Millisecond
 	// seedInterval is the time between two requests to seeds, with a jitter of
 	// ±50%.
 	seedInterval = 300 * time.Millisecond
 	// seedsPerRound is the number of seeds that are asked at once.
 	seedsPerRound = 2
-	// seedTimeout bounds how long one that does not respond delays the other's reply.
+	// seedTimeout is peerCallTimeout for seeds: one that does not respond delays the
+	// other's reply.
 	seedTimeout = 600 * time.Millisecond
 )
 
@@ -151,14 +154,12 @@
 	seeds := g.otherSeeds()
 	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
 	seeds = seeds[:min(len(seeds), seedsPerRound)]
-	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
-	defer cancel()
 	current := g.versions()
 	replies := make([]*peer.GetBeliefsReply, len(seeds))
 	var calls errgroup.Group
 	for i, address := range seeds {
 		calls.Go(func() (err error) {
-			replies[i], err = g.callPeer(ctx, address, current, &peer.GetBeliefsRequest{Insist: true})
+			replies[i], err = g.callPeerWithin(ctx, seedTimeout, address, current, &peer.GetBeliefsRequest{Insist: true})
 			if err != nil {
 				g.log.Warn("cannot get the state of a seed", "peer", address.String(), "error", err)
 			}
@@ -221,11 +222,18 @@
 	}
 }
 
-// callPeer requests what a peer has beyond k.
+// callPeer requests what a peer has beyond the current versions.
 func (g *Gateway) callPeer(
 	ctx context.Context, address netip.AddrPort, current versions, r *peer.GetBeliefsRequest,
 ) (*peer.GetBeliefsReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	return g.callPeerWithin(ctx, peerCallTimeout, address, current, r)
+}
+
+// callPeerWithin is callPeer with a timeout for the reply to begin and to go on.
+func (g *Gateway) callPeerWithin(
+	ctx context.Context, timeout time.Duration, address netip.AddrPort, current versions, r *peer.GetBeliefsRequest,
+) (*peer.GetBeliefsReply, error) {
+	ctx, cancel := reception.WithIdleTimeout(ctx, timeout, timeout)
 	defer cancel()
 	r.PlanVersion, r.RegistryDigest = current.table, current.registryDigest
 	r.RegistryRevision, r.RegistryEpoch = current.registry.Number(), current.registry.Epoch()
--- a/cmd/router/gateway/read_table.go
+++ b/cmd/router/gateway/read_table.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"vanillalug.example/platform"
+	"vanillalug.example/reception"
 )
 
 // readTable reads the whole table. After a failure the next call continues at the
@@ -35,7 +36,7 @@
 }
 
 func readPage(ctx context.Context, r *platform.TableReader) error {
-	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	ctx, cancel := reception.WithIdleTimeout(ctx, pageTimeout, pageTimeout)
 	defer cancel()
 	return r.Next(ctx)
 }
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -12,6 +12,7 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/crew"
 	"vanillalug.example/platform"
+	"vanillalug.example/reception"
 	"vanillalug.example/rota"
 )
 
@@ -21,8 +22,10 @@
 	registryPollTime = 2 * time.Second
 	// tablePollTime is longer: the poll is restarted when the registry's recovers.
 	tablePollTime = 20 * time.Second
-	// pollGrace is how much longer than the poll time a response may take.
-	pollGrace   = 700 * time.Millisecond
+	// pollGrace is how much later than the poll time a response may begin, and how
+	// long it may then stop arriving.
+	pollGrace = 700 * time.Millisecond
+	// pageTimeout is the same for a page of a table that is read whole.
 	pageTimeout = 1500 * time.Millisecond
 	// maxTableReadTime is how long reading a table may take; the store's history
 	// must still include the revision of the first page.
@@ -94,6 +97,7 @@
 
 	mu          sync.Mutex
 	cancel      context.CancelCauseFunc
+	call        context.Context          // of the poll in progress
 	revision    vanillalug.StoreRevision // changes up to here are known; zero before the first full read
 	lastSuccess time.Time
 }
@@ -172,15 +176,23 @@
 	}
 }
 
-// interrupt cancels the call in progress, so that the store is polled at once.
+// interrupt cancels the call in progress, so that the store is polled at once. A call
+// whose response is arriving goes on.
 func (w *watcher) interrupt() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.cancel != nil {
+	if w.cancel != nil && (w.call == nil || !reception.Receiving(w.call)) {
 		w.cancel(errInterrupted)
 	}
 }
 
+// setCall sets the context of the call in progress, nil if there is none.
+func (w *watcher) setCall(ctx context.Context) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.call = ctx
+}
+
 // pollOnce makes one call and reports whether it returned any change.
 func (w *watcher) pollOnce(ctx context.Context) (changed bool, err error) {
 	since := w.knownRevision()
@@ -191,8 +203,10 @@
 	if !w.g.followsStore() {
 		pollTime = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, pollTime+pollGrace)
+	ctx, cancel := reception.WithIdleTimeout(ctx, pollTime+pollGrace, pollGrace)
 	defer cancel()
+	w.setCall(ctx)
+	defer w.setCall(nil)
 	rows, err := w.poll(ctx, since, pollTime)
 	if mustReadWhole(err, since) {
 		w.g.log.Warn("reading the whole table", "table", w.name, "reason", err)
--- a/reception/response_body.go
+++ b/reception/response_body.go
@@ -1,6 +1,7 @@
 package reception
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -23,17 +24,29 @@
 // Unwrap returns the error of the connection or the context.
 func (e *IncompleteBodyError) Unwrap() error { return e.err }
 
-// responseBody counts what is read of a response.
+// responseBody counts what is read of a response, and restarts its idle timeout.
 type responseBody struct {
 	io.ReadCloser
+	ctx      context.Context
+	idle     *idleTimer
 	received int64
 }
 
+func newResponseBody(ctx context.Context, body io.ReadCloser) *responseBody {
+	return &responseBody{ReadCloser: body, ctx: ctx, idle: idleTimerOf(ctx)}
+}
+
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.received += int64(n)
+	if n > 0 {
+		b.idle.received()
+	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
+	if cause := context.Cause(b.ctx); cause != nil {
+		err = cause
+	}
 	return n, &IncompleteBodyError{received: b.received, err: err}
 }
