Peers ahead are asked evenly and send routing tables compressed

Cause: all routers that were behind asked the peer with the highest revision of the registry, a single one at most moments. A peer that was no longer heard of stayed the first choice as well.

Change: any of the peers with the newest table is asked; they are heard of lately. The table goes to peers in gzip format, kept as it came, less than a quarter of its size. A router sends 512 KB of tables a second to its peers at most and leaves the others to routers that have it by then, but always sends it to one that starts. Peers come before the store for half a second, as the store sends 1.4 times the text. When a peer has delivered, the store's pending response is cancelled. Older builds get and send what they did (new fields in the messages).

Evidence: TestPeersAheadAreAskedEvenly failed before: 1,000 of 1,000 draws the same peer. Tests of the transfer, of the limit, of broken tables, and of a spread to 12 routers.

--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -22,11 +22,16 @@
 	storeHeadStart = 250 * time.Millisecond
 	// catchUpJitter spreads the requests of routers that don't poll the store.
 	catchUpJitter = 60 * time.Millisecond
-	// largeTable is the size in bytes from which a routing table is read from the
-	// store, as the links of peers are narrow.
+	// catchUpRounds is how many peers are asked one after the other, and catchUpPause
+	// the mean time between two of them.
+	catchUpRounds = 8
+	catchUpPause  = 120 * time.Millisecond
+	// peerTableTime is how long peers have to deliver a routing table before it is read
+	// from the store, where it isn't compressed.
+	peerTableTime = 500 * time.Millisecond
+	// largeTable is the size in bytes from which a routing table takes much of a narrow
+	// link.
 	largeTable = 48 << 10
-	// storeReadTime is how long the store may take for that.
-	storeReadTime = 500 * time.Millisecond
 	// peerCallTimeout is how long a peer's reply may take to begin, and how long it may
 	// stop arriving.
 	peerCallTimeout = 1500 * time.Millisecond
@@ -93,47 +98,72 @@
 		} else {
 			sleep(ctx, rand.N(catchUpJitter))
 		}
-		best, ok := g.peers.mostAhead(g.versions())
-		if !ok {
-			continue
+		g.syncFromPeersAhead(ctx)
+	}
+}
+
+// syncFromPeersAhead asks peers that are ahead until none of them is, and polls the
+// store for what they don't deliver.
+func (g *Gateway) syncFromPeersAhead(ctx context.Context) {
+	start := g.clock.Now()
+	var registryPolled, tablePolled bool
+	for range catchUpRounds {
+		ahead, found := g.peers.mostAhead(g.versions())
+		if !found || ctx.Err() != nil {
+			return
 		}
-		g.syncFromPeer(ctx, best.address, false)
-		if !g.pollStoreNow(best) {
+		g.syncFromPeer(ctx, ahead.address, tablePolled)
+		current := g.versions()
+		if !current.behind(ahead) {
 			continue
 		}
-		sleep(ctx, storeReadTime)
-		if g.versions().behind(best) {
-			g.syncFromPeer(ctx, best.address, true)
+		if !registryPolled && current.registryBehind(ahead) {
+			g.watchers.registry.interrupt()
+			registryPolled = true
 		}
+		if !tablePolled && ahead.table > current.table && g.clock.Now().Sub(start) >= peerTableTime {
+			g.watchers.table.interrupt()
+			tablePolled = true
+		}
+		sleep(ctx, catchUpPause/2+rand.N(catchUpPause))
 	}
 }
 
-// pollStoreNow polls the store for what a peer has beyond this router. It reports
-// whether the peer is still ahead.
-func (g *Gateway) pollStoreNow(reported peerVersions) bool {
-	current := g.versions()
-	if reported.table > current.table {
-		g.watchers.table.interrupt()
-	}
-	if current.registryBehind(reported) {
-		g.watchers.registry.interrupt()
-	}
-	return current.behind(reported)
-}
-
-// mostAhead returns the peer with the newest versions beyond k.
-func (p *peers) mostAhead(current versions) (best peerVersions, found bool) {
+// mostAhead returns a peer that was heard of lately and has something newer. If there
+// are newer routing tables, it is any of those with the newest one, so that not everyone
+// asks the same; otherwise any of those with the newest registry.
+func (p *peers) mostAhead(current versions) (peerVersions, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, reported := range p.versions {
-		if !current.behind(reported) {
+	since := p.clock.Now().Add(-p.ttl())
+	var best []peerVersions
+	for name, reported := range p.versions {
+		if !current.behind(reported) || !p.known[name].lastSeen.After(since) {
 			continue
 		}
-		if !found || reported.table > best.table || reported.table == best.table && reported.registry.After(best.registry) {
-			best, found = reported, true
+		switch order := compareAhead(current, reported, best); {
+		case order > 0:
+			best = []peerVersions{reported}
+		case order == 0:
+			best = append(best, reported)
 		}
 	}
-	return best, found
+	if len(best) == 0 {
+		return peerVersions{}, false
+	}
+	return best[rand.IntN(len(best))], true
+}
+
+// compareAhead compares what a peer has with the best ones so far; the registries count
+// only where no peer has a newer routing table.
+func compareAhead(current versions, reported peerVersions, best []peerVersions) int {
+	if len(best) == 0 {
+		return 1
+	}
+	if order := cmp.Compare(reported.table, best[0].table); order != 0 || reported.table > current.table {
+		return order
+	}
+	return reported.registry.Compare(best[0].registry)
 }
 
 // bootstrap queries the seeds until this router is ready, as the store may reject
@@ -191,8 +221,8 @@
 	return out
 }
 
-// syncFromPeer requests what a peer has beyond this router and applies it. The
-// peer sends a large routing table only if insist is set.
+// syncFromPeer requests what a peer has beyond this router and applies it. A peer that
+// doesn't compress a large routing table sends it only if insist is set.
 func (g *Gateway) syncFromPeer(ctx context.Context, address netip.AddrPort, insist bool) {
 	current := g.versions()
 	reply, err := g.callPeer(ctx, address, current, &peer.GetBeliefsRequest{Insist: insist})
@@ -210,10 +240,7 @@
 	found := g.routerAddresses(reply.Routers)
 	found[reply.From] = address
 	g.peers.add(found)
-	if len(reply.Plan) > 0 {
-		g.applyTable(reply.Plan, planRevision(reply), "peer "+address.String())
-		g.watchers.table.advance(planRevision(reply))
-	}
+	g.applyPeerTable(reply, "peer "+address.String())
 	if registryRevision(reply).After(current.registry) {
 		g.updateView(registryUpdate(reply, current.registryDigest, g.clock.Now()))
 		g.watchers.registry.advance(g.versions().registry)
@@ -235,7 +262,7 @@
 ) (*peer.GetBeliefsReply, error) {
 	ctx, cancel := reception.WithIdleTimeout(ctx, timeout, timeout)
 	defer cancel()
-	r.PlanVersion, r.RegistryDigest = current.table, current.registryDigest
+	r.PlanVersion, r.RegistryDigest, r.ReadsCompressed = current.table, current.registryDigest, true
 	r.RegistryRevision, r.RegistryEpoch = current.registry.Number(), current.registry.Epoch()
 	r.From = &peer.RouterAddress{Name: g.cfg.Name, Address: g.cfg.PeerAddress}
 	client := peer.NewBeliefsProtobufClient("http://"+address.String(), g.peerClient)
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/time/rate"
 
 	"vanillalug.example"
 	"vanillalug.example/allowance"
@@ -60,6 +61,8 @@
 	peerClient    peer.HTTPClient
 	watchers      watchers
 	catchUpSignal chan struct{}
+	// tableSends limits the bytes of routing tables that are sent to peers.
+	tableSends *rate.Limiter
 
 	table     atomic.Pointer[activeTable]
 	upstreams atomic.Pointer[upstreamSet]
@@ -98,6 +101,9 @@
 	raw   []byte
 	// revision is the revision of the store's row.
 	revision vanillalug.StoreRevision
+
+	compressMu sync.Mutex
+	compressed []byte // raw in gzip format; empty until a peer requests it
 }
 
 // New returns a Gateway without routing table and targets; Run fetches them.
@@ -105,6 +111,7 @@
 	g := &Gateway{
 		cfg: cfg, clock: clock, log: log, store: store, peerClient: peerClient,
 		catchUpSignal:    make(chan struct{}, 1),
+		tableSends:       rate.NewLimiter(tableSendRate, tableSendBurst),
 		starting:         make(chan struct{}),
 		registrationLost: make(chan struct{}, 1),
 		loads:            fitting.NewLoadTable(),
--- a/cmd/router/gateway/peer_server.go
+++ b/cmd/router/gateway/peer_server.go
@@ -19,13 +19,7 @@
 		g.addPlacements(reply, min(r.Placements, maxWarmUpPlacements))
 		return reply, nil
 	}
-	if active := g.table.Load(); active != nil {
-		reply.PlanVersion = active.table.Version()
-		if active.table.Version() > r.PlanVersion && (r.Insist || len(active.raw) < largeTable) {
-			reply.Plan = active.raw
-			reply.PlanRevision, reply.PlanEpoch = active.revision.Number(), active.revision.Epoch()
-		}
-	}
+	g.addTable(reply, r)
 	for name, a := range g.peers.all() {
 		reply.Routers = append(reply.Routers, &peer.RouterAddress{Name: name, Address: a.String()})
 	}
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"vanillalug.example"
 	"vanillalug.example/crew"
 	"vanillalug.example/platform"
 )
@@ -12,19 +11,20 @@
 func (g *Gateway) applyTableRows(rows platform.Rows) {
 	for _, r := range rows.All() {
 		if platform.IsRoutingTable(r) {
-			g.applyTable(r.Value(), r.Revision(), "store")
+			g.applyTable(&activeTable{raw: r.Value(), revision: r.Revision()}, "store")
 		}
 	}
 }
 
-// applyTable activates a routing table unless the active one is as new or newer.
-func (g *Gateway) applyTable(raw []byte, revision vanillalug.StoreRevision, source string) {
-	table, err := platform.DecodeRoutingTable(raw)
+// applyTable decodes the text of a routing table and activates it unless the active one
+// is as new or newer.
+func (g *Gateway) applyTable(next *activeTable, source string) {
+	table, err := platform.DecodeRoutingTable(next.raw)
 	if err != nil {
 		g.log.Error("cannot decode the routing table; keeping the active one", "source", source, "error", err)
 		return
 	}
-	next := &activeTable{table: table, raw: raw, revision: revision}
+	next.table = table
 	for {
 		old := g.table.Load()
 		if old != nil && old.table.Version() >= table.Version() {
@@ -34,7 +34,7 @@
 			break
 		}
 	}
-	g.log.Info("routing table in force", "version", table.Version(), "source", source, "bytes", len(raw))
+	g.log.Info("routing table in force", "version", table.Version(), "source", source, "bytes", len(next.raw))
 }
 
 // applyTargetSnapshot replaces the view of the registry by all of its rows.
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -97,7 +97,7 @@
 
 	mu          sync.Mutex
 	cancel      context.CancelCauseFunc
-	call        context.Context          // of the poll in progress
+	call        context.Context          // of the poll in progress; nil if there is none
 	revision    vanillalug.StoreRevision // changes up to here are known; zero before the first full read
 	lastSuccess time.Time
 }
@@ -186,13 +186,29 @@
 	}
 }
 
-// setCall sets the context of the call in progress, nil if there is none.
-func (w *watcher) setCall(ctx context.Context) {
+// cancelPoll cancels a poll in progress, also one whose response is arriving: a peer has
+// sent what it would return.
+func (w *watcher) cancelPoll() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.call != nil {
+		w.cancel(errInterrupted)
+	}
+}
+
+// startCall records the context of the call in progress, which endCall clears.
+func (w *watcher) startCall(ctx context.Context) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.call = ctx
 }
 
+func (w *watcher) endCall() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.call = nil
+}
+
 // pollOnce makes one call and reports whether it returned any change.
 func (w *watcher) pollOnce(ctx context.Context) (changed bool, err error) {
 	since := w.knownRevision()
@@ -205,8 +221,8 @@
 	}
 	ctx, cancel := reception.WithIdleTimeout(ctx, pollTime+pollGrace, pollGrace)
 	defer cancel()
-	w.setCall(ctx)
-	defer w.setCall(nil)
+	w.startCall(ctx)
+	defer w.endCall()
 	rows, err := w.poll(ctx, since, pollTime)
 	if mustReadWhole(err, since) {
 		w.g.log.Warn("reading the whole table", "table", w.name, "reason", err)
