Own interface: a fleet document may take longer to arrive than two seconds

No caller has reported it.

TestLargeDocumentOverNarrowLink failed before (no document after a transfer of 3 s) and passes. Each of the two sources now has its own idle timeout.

--- a/cmd/router/office/configuration.go
+++ b/cmd/router/office/configuration.go
@@ -9,9 +9,12 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/depot"
 	"vanillalug.example/peer"
+	"vanillalug.example/reception"
 	"vanillalug.example/register"
 )
 
+// fetchTimeout is how long a response may take to begin, and how long it may stop
+// arriving: a large document takes longer over a narrow link.
 const fetchTimeout = 2 * time.Second
 
 // ReadHead reads the head of the fleet document from the platform's table.
@@ -63,15 +66,15 @@
 // fetchDocument fetches a document from the peer that has it or, if that fails,
 // from the object store.
 func (r *Router) fetchDocument(e register.Fetch) {
-	ctx, done := detachedContext(fetchTimeout)
-	defer done()
-	if e.Peer != "" && r.fetchFromPeer(ctx, e.Peer, e.Head) {
+	if e.Peer != "" && r.fetchFromPeer(context.Background(), e.Peer, e.Head) {
 		return
 	}
 	if e.Head.Digest() == "" {
 		r.applyRegister(r.register.Handle(register.FetchFailed{Head: e.Head}))
 		return
 	}
+	ctx, done := reception.WithIdleTimeout(context.Background(), fetchTimeout, fetchTimeout)
+	defer done()
 	text, err := r.objects.GetObject(ctx, register.DocumentKey(e.Head.Digest()))
 	if err != nil {
 		meter.Add("document_fetch_failures", 1)
@@ -86,6 +89,8 @@
 	if !ok {
 		return false
 	}
+	ctx, done := reception.WithIdleTimeout(ctx, fetchTimeout, fetchTimeout)
+	defer done()
 	w, err := r.peers.Document(ctx, m.Address())
 	if err != nil || w.GetHead().GetVersion() < want.Version() {
 		return false
@@ -97,8 +102,6 @@
 
 // syncFromPeer fetches the document from a peer that has a newer version.
 func (r *Router) syncFromPeer(ctx context.Context, name string) {
-	ctx, done := context.WithTimeout(ctx, fetchTimeout)
-	defer done()
 	meter.Add("catch_ups", 1)
 	r.fetchFromPeer(ctx, name, r.register.Head())
 }
