Decode the text of a routing table once

The text at a revision that the active table includes is skipped; revisions of other epochs and unknown ones are decoded as before. TestKnownTableIsNotDecodedAgain failed on neither part before, as the skip is new: without it the first check fails.

--- a/cmd/router/gateway/table_transfer_test.go
+++ b/cmd/router/gateway/table_transfer_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillalug.example"
 	"vanillalug.example/peer"
 	"vanillalug.example/platform/platformtest"
 )
@@ -96,6 +97,20 @@
 	require.False(t, found)
 }
 
+// TestKnownTableIsNotDecodedAgain checks that the text of a table that both a peer and
+// the store deliver is decoded once, and that the revisions of a restored store don't hide
+// another table.
+func TestKnownTableIsNotDecodedAgain(t *testing.T) {
+	tr := newTestRouter(t)
+	tr.waitReady(0)
+	known := tr.g.table.Load().revision
+	tr.g.applyTable(&activeTable{raw: []byte("not decoded"), revision: known}, "store")
+	require.NotContains(t, tr.logs.String(), "cannot decode the routing table")
+	restored := vanillalug.NewStoreRevision(known.Epoch()+1, known.Number())
+	tr.g.applyTable(&activeTable{raw: []byte("decoded"), revision: restored}, "store")
+	require.Contains(t, tr.logs.String(), "cannot decode the routing table")
+}
+
 // TestTableSpreadsBetweenRouters checks that a large table reaches routers that the store
 // rejects, from one that has it, within the limit for a new version.
 func TestTableSpreadsBetweenRouters(t *testing.T) {
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"vanillalug.example"
 	"vanillalug.example/crew"
 	"vanillalug.example/platform"
 )
@@ -19,6 +20,9 @@
 // applyTable decodes the text of a routing table and activates it unless the active one
 // is as new or newer.
 func (g *Gateway) applyTable(next *activeTable, source string) {
+	if g.table.Load().includes(next.revision) {
+		return
+	}
 	table, err := platform.DecodeRoutingTable(next.raw)
 	if err != nil {
 		g.log.Error("cannot decode the routing table; keeping the active one", "source", source, "error", err)
@@ -37,6 +41,13 @@
 	g.log.Info("routing table in force", "version", table.Version(), "source", source, "bytes", len(next.raw))
 }
 
+// includes reports whether the table is as of a revision of the store or later, so that
+// the text at that revision needn't be decoded. A nil table includes nothing; a zero
+// revision, of a peer that didn't state it, is in none.
+func (a *activeTable) includes(revision vanillalug.StoreRevision) bool {
+	return a != nil && !revision.IsZero() && a.revision.Epoch() == revision.Epoch() && !revision.After(a.revision)
+}
+
 // applyTargetSnapshot replaces the view of the registry by all of its rows.
 func (g *Gateway) applyTargetSnapshot(rows platform.Rows) {
 	snapshot := crew.Snapshot{At: g.clock.Now(), Revision: rows.Revision()}
