Test of the spread of a table: the router with the store follows it

Trace: with 13 routers the first six in the order of hashed names follow the store, and the only one that it served wasn't always still polling: it got version 2 only after the takeover of 2 to 4 s that rota states for this case.

--- a/cmd/router/gateway/table_transfer_test.go
+++ b/cmd/router/gateway/table_transfer_test.go
@@ -11,6 +11,7 @@
 	"vanillalug.example"
 	"vanillalug.example/peer"
 	"vanillalug.example/platform/platformtest"
+	"vanillalug.example/rota"
 )
 
 func newRouterWithLargeTable(t *testing.T) *testRouter {
@@ -112,21 +113,30 @@
 }
 
 // TestTableSpreadsBetweenRouters checks that a large table reaches routers that the store
-// rejects, from one that has it, within the limit for a new version.
+// rejects, from one that follows it, within the limit for a new version.
 func TestTableSpreadsBetweenRouters(t *testing.T) {
 	const routers = 12
 	store := platformtest.NewStore()
 	defer store.Close()
 	store.PutJSON("op", "config", platformtest.RoutingTable(1, []string{testKey}, routes()...))
-	first := newTestRouterAt(t, store, "a")
+	names := []string{"b0"}
+	var peers []rota.Peer
+	for i := range routers {
+		names = append(names, name("b", i+1))
+		peers = append(peers, rota.Peer{Name: names[i+1]})
+	}
+	follower := rota.FirstRouter(names[0], peers)
+	first := newTestRouterAt(t, store, follower)
 	first.addTargets(plainService, "p1")
 	first.waitReady(1)
 	seed := netip.MustParseAddrPort(first.g.cfg.PeerAddress)
 	unavailable := platformtest.NewStore()
 	unavailable.SetFault(platformtest.Unavailable)
 	var others []*testRouter
-	for i := range routers {
-		others = append(others, newTestRouterAt(t, unavailable, name("b", i), seed))
+	for _, n := range names {
+		if n != follower {
+			others = append(others, newTestRouterAt(t, unavailable, n, seed))
+		}
 	}
 	for _, tr := range others {
 		tr.waitReady(1)
