--- /dev/null
+++ b/cmd/router/gateway/defects_test.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalug.example/platform/platformtest"
+)
+
+const (
+	commonPart = "c0ffee"
+	topicPart  = "70b1c"
+	deadlyPart = "deadbeef"
+	// maxCrashes is the number of targets that may crash before routers must know.
+	maxCrashes = 5
+)
+
+// withParts sets the parts of the prompt; the last one is the request's own.
+func withParts(id string, parts ...string) func(*http.Request) {
+	return func(r *http.Request) {
+		header := ""
+		for _, p := range parts {
+			header += p + ":1000,"
+		}
+		r.Header.Set("X-Model", "m")
+		r.Header.Set("X-Token-Count", "3000,50")
+		r.Header.Set("X-Prefix-Hash", header+strconv.FormatUint(uint64(hashOf(id)), 16)+":100")
+	}
+}
+
+// TestPromptPartCrashesTargets guards against requests with a part of the prompt that
+// crashes engines taking down one after the other, through any router, while sound
+// requests that share the other parts must be served.
+func TestPromptPartCrashesTargets(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	store.PutJSON("op", "config", platformtest.RoutingTable(1, []string{testKey}, routes()...))
+	a, b := newTestRouterAt(t, store, "a"), newTestRouterAt(t, store, "b")
+	engines := a.addTargets(promptService, "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8")
+	a.waitReady(len(engines))
+	b.waitReady(len(engines))
+	require.Eventually(t, func() bool { return len(a.g.peers.all()) == 1 && len(b.g.peers.all()) == 1 }, waitTimeout, pollInterval)
+	for _, e := range engines {
+		e.SetDeadlyPart(deadlyPart)
+	}
+	deadly, sound := 0, 0
+	for i := range 30 {
+		tr := []*testRouter{a, b}[i%2]
+		id := name("deadly", i)
+		w := tr.send(http.MethodPost, "/prompt/x", id, nil, withParts(id, commonPart, topicPart, deadlyPart))
+		require.NotEqual(t, http.StatusOK, w.status)
+		deadly += countExecutions(id, engines)
+		id = name("sound", i)
+		w = tr.send(http.MethodPost, "/prompt/x", id, nil, withParts(id, commonPart, topicPart))
+		if w.status == http.StatusOK {
+			sound++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.LessOrEqual(t, deadly, maxCrashes)
+	require.Equal(t, 30, sound)
+}
