Reject requests with a part of the prompt that crashes targets

Cause: an engine that ends is avoided and its request sent to the next one, which is right unless the request itself is what ends it. Nothing connected such requests.

Change: defect.Tracker, a state machine without I/O. A connection that ends between the head of a stream and its first event makes the shared parts of the prompt suspect, a complete response clears them; three incarnations of targets and no clearing block a part at every router, by datagrams with ages. Blocked requests get 503 at once without a time to retry after. A part whose crashes all had another blocked part as well is let through without that one, so that sound requests aren't rejected for ever.

Evidence: TestPromptPartCrashesTargets failed before (30 of 30 requests sent, now 5 at most, and 30 of 30 sound ones served).

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -11,6 +11,9 @@
 // selectUpstream selects the target of the next attempt, or returns a rejection.
 func (t *transaction) selectUpstream() (*upstream, *rejection) {
 	now := t.g.clock.Now()
+	if rejected := t.rejectDefect(now); rejected != nil {
+		return nil, rejected
+	}
 	upstreams := t.g.upstreams.Load().byService[t.service]
 	candidates := t.candidates(upstreams, now)
 	req := t.fittingRequest(now)
--- a/cmd/router/gateway/defects_test.go
+++ b/cmd/router/gateway/defects_test.go
@@ -28,7 +28,7 @@
 		}
 		r.Header.Set("X-Model", "m")
 		r.Header.Set("X-Token-Count", "3000,50")
-		r.Header.Set("X-Prefix-Hash", header+strconv.FormatUint(uint64(hashOf(id)), 16)+":100")
+		r.Header.Set("X-Prefix-Hash", header+strconv.FormatUint(hashOf(id), 16)+":100")
 	}
 }
 
@@ -36,11 +36,16 @@
 // crashes engines taking down one after the other, through any router, while sound
 // requests that share the other parts must be served.
 func TestPromptPartCrashesTargets(t *testing.T) {
+	const requests = 30
 	store := platformtest.NewStore()
 	defer store.Close()
 	store.PutJSON("op", "config", platformtest.RoutingTable(1, []string{testKey}, routes()...))
 	a, b := newTestRouterAt(t, store, "a"), newTestRouterAt(t, store, "b")
-	engines := a.addTargets(promptService, "e1", "e2", "e3", "e4", "e5", "e6", "e7", "e8")
+	var ids []string
+	for i := range 2 * requests {
+		ids = append(ids, name("e", i))
+	}
+	engines := a.addTargets(promptService, ids...)
 	a.waitReady(len(engines))
 	b.waitReady(len(engines))
 	require.Eventually(t, func() bool { return len(a.g.peers.all()) == 1 && len(b.g.peers.all()) == 1 }, waitTimeout, pollInterval)
@@ -48,7 +53,7 @@
 		e.SetDeadlyPart(deadlyPart)
 	}
 	deadly, sound := 0, 0
-	for i := range 30 {
+	for i := range requests {
 		tr := []*testRouter{a, b}[i%2]
 		id := name("deadly", i)
 		w := tr.send(http.MethodPost, "/prompt/x", id, nil, withParts(id, commonPart, topicPart, deadlyPart))
@@ -62,5 +67,5 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	require.LessOrEqual(t, deadly, maxCrashes)
-	require.Equal(t, 30, sound)
+	require.Equal(t, requests, sound)
 }
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"vanillalug.example"
 	"vanillalug.example/allowance"
 	"vanillalug.example/crew"
+	"vanillalug.example/defect"
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
 	"vanillalug.example/plan"
@@ -53,7 +54,9 @@
 	overloads    *fitting.OverloadTracker
 	// failureReports are failures at targets, seen by this router or its peers.
 	failureReports *fitting.FailureReports
-	retryBudget    *allowance.WindowBudget
+	// defects has the parts of prompts that crash targets.
+	defects     *defect.Tracker
+	retryBudget *allowance.WindowBudget
 	// idleTimeouts are estimates of how long connections to targets may be idle.
 	idleTimeouts idleTimeouts
 	peers        *peers
@@ -119,6 +122,7 @@
 		serviceTimes:     fitting.NewServiceTimes(),
 		overloads:        fitting.NewOverloadTracker(),
 		failureReports:   fitting.NewFailureReports(),
+		defects:          defect.NewTracker(),
 		failing:          map[string]bool{},
 		retryBudget:      allowance.NewWindowBudget(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
 		view:             crew.NewView(),
--- a/cmd/router/gateway/peer_server.go
+++ b/cmd/router/gateway/peer_server.go
@@ -11,7 +11,7 @@
 // GetBeliefs implements peer.Beliefs: it returns what is newer here than the
 // versions in the request, or placements if the peer asks for them.
 func (g *Gateway) GetBeliefs(_ context.Context, r *peer.GetBeliefsRequest) (*peer.GetBeliefsReply, error) {
-	reply := &peer.GetBeliefsReply{From: g.cfg.Name}
+	reply := &peer.GetBeliefsReply{From: g.cfg.Name, Defects: defectsToProto(g.defects.Reports(g.clock.Now()))}
 	if r.From != nil {
 		g.peers.add(g.routerAddresses([]*peer.RouterAddress{r.From}))
 	}
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -68,6 +68,7 @@
 	for _, key := range g.failureReports.Own(now) {
 		out.Failing = append(out.Failing, uint64(key))
 	}
+	out.Defects = defectsToProto(g.defects.Reports(now))
 	for _, p := range g.peers.recentPlacements(now) {
 		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
 	}
@@ -109,6 +110,7 @@
 		failing[i] = fitting.Key(k)
 	}
 	g.failureReports.RecordFromPeer(s.From, failing, now)
+	g.handleDefects(s.From, s.Defects)
 	reported := peerVersions{
 		address: from, table: s.PlanVersion, registryDigest: s.RegistryDigest, following: s.Following,
 		registry: vanillalug.NewStoreRevision(s.RegistryEpoch, s.RegistryRevision),
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -18,6 +18,9 @@
 	err := t.copyEvents(o, onFirstEvent)
 	t.releaseConn(o, err)
 	if err == nil {
+		if t.responseStarted {
+			t.g.defects.RecordComplete(t.parts, t.g.clock.Now())
+		}
 		t.startResponse(o)
 		t.completed = true
 		t.recordSuccess(u)
@@ -29,10 +32,12 @@
 		t.abort("caller is gone", err)
 	}
 	t.logAttempt("stream broke off", err)
+	mayResend := true
 	if ctx.Err() == nil {
 		t.recordFailure(u, responseFailureWeight)
+		mayResend = t.recordCrash(u, err)
 	}
-	if t.route.Retryable() && t.mayRetry() {
+	if mayResend && t.route.Retryable() && t.mayRetry() {
 		return true
 	}
 	t.fail(&rejection{status: http.StatusBadGateway, reason: "stream broke off", cause: err})
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"vanillalug.example/cmd/router/channel"
+	"vanillalug.example/defect"
 	"vanillalug.example/fitting"
 	"vanillalug.example/plan"
 	"vanillalug.example/platform"
@@ -37,8 +38,10 @@
 	priority  int
 	service   string
 	body      []byte
-	start     time.Time
-	deadline  time.Time
+	// parts are the parts of the prompt that requests share.
+	parts    []defect.PartKey
+	start    time.Time
+	deadline time.Time
 
 	// attempts counts the targets that may have received the request.
 	attempts       int
@@ -67,6 +70,7 @@
 func (t *transaction) proxy() {
 	t.tried = map[fitting.Key]bool{}
 	t.lastEventID = t.req.LastEventID()
+	t.parts = t.sharedParts()
 	t.g.retryBudget.RecordRequest(t.service, t.start)
 	ctx, cancel := context.WithDeadline(t.r.Context(), t.deadline)
 	defer cancel()
--- a/cmd/router/gateway/warm_up.go
+++ b/cmd/router/gateway/warm_up.go
@@ -93,6 +93,7 @@
 		g.log.Warn("a peer did not tell its placements", "peer", address.String(), "error", err)
 		return false
 	}
+	g.handleDefects(reply.From, reply.Defects)
 	if !reply.Settled {
 		return false
 	}
--- /dev/null
+++ b/defect/tracker_test.go
@@ -0,0 +1,115 @@
+package defect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Date(2026, 3, 4, 9, 0, 0, 0, time.UTC)
+
+func after(d time.Duration) time.Time { return start.Add(d) }
+
+// TestPartIsBlockedAfterCrashes checks what counts as evidence about a part.
+func TestPartIsBlockedAfterCrashes(t *testing.T) {
+	const bad, other = PartKey(1), PartKey(2)
+	crash := func(target TargetKey, at time.Duration, parts ...PartKey) func(*Tracker) {
+		return func(tr *Tracker) { tr.RecordCrash(parts, target, after(at)) }
+	}
+	complete := func(at time.Duration, parts ...PartKey) func(*Tracker) {
+		return func(tr *Tracker) { tr.RecordComplete(parts, after(at)) }
+	}
+	tests := map[string]struct {
+		events    []func(*Tracker)
+		at        time.Duration
+		blocked   bool
+		mayResend bool
+	}{
+		"nothing happened":         {nil, 0, false, true},
+		"one crash":                {[]func(*Tracker){crash(1, 0, bad, other)}, time.Second, false, true},
+		"two targets":              {[]func(*Tracker){crash(1, 0, bad), crash(2, time.Second, bad)}, time.Second, false, false},
+		"three targets":            {[]func(*Tracker){crash(1, 0, bad), crash(2, 1, bad), crash(3, 2, bad)}, time.Second, true, false},
+		"the same target thrice":   {[]func(*Tracker){crash(1, 0, bad), crash(1, 10*time.Second, bad), crash(1, 20*time.Second, bad)}, 21 * time.Second, false, true},
+		"cleared between":          {[]func(*Tracker){crash(1, 0, bad), crash(2, 1, bad), complete(time.Second, bad), crash(3, 2*time.Second, bad)}, 3 * time.Second, false, true},
+		"cleared after":            {[]func(*Tracker){crash(1, 0, bad), crash(2, 1, bad), crash(3, 2, bad), complete(time.Second, bad)}, 3 * time.Second, false, true},
+		"another part cleared":     {[]func(*Tracker){crash(1, 0, bad, other), crash(2, 1, bad, other), complete(2, other), crash(3, 3, bad, other)}, time.Second, true, false},
+		"the first crash expired":  {[]func(*Tracker){crash(1, 0, bad), crash(2, time.Minute, bad), crash(3, time.Minute, bad)}, evidenceTTL, false, false},
+		"one more crash blocks it": {[]func(*Tracker){crash(1, 0, bad), crash(2, time.Minute, bad), crash(3, time.Minute, bad), crash(4, evidenceTTL, bad)}, evidenceTTL, true, false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			tr := NewTracker()
+			for _, e := range tt.events {
+				e(tr)
+			}
+			_, blocked := tr.Blocked([]PartKey{other + 1, bad}, after(tt.at))
+			require.Equal(t, tt.blocked, blocked)
+			require.Equal(t, tt.mayResend, tr.MayResend([]PartKey{bad}, after(tt.at)))
+			_, blocked = tr.Blocked([]PartKey{other}, after(tt.at))
+			require.False(t, blocked)
+		})
+	}
+}
+
+// TestReports checks that peers learn the evidence, and that repeated and late messages
+// change nothing.
+func TestReports(t *testing.T) {
+	const part = PartKey(1)
+	a, b := NewTracker(), NewTracker()
+	require.Empty(t, a.Reports(start))
+	a.RecordCrash([]PartKey{part}, 1, start)
+	b.RecordCrash([]PartKey{part}, 2, start)
+	require.Empty(t, b.RecordFromPeer(a.Reports(after(time.Second)), after(time.Second)))
+	require.Equal(t, []PartKey{part}, b.RecordCrash([]PartKey{part}, 3, after(time.Second)), "the third target")
+	require.Equal(t, []PartKey{part}, a.RecordFromPeer(b.Reports(after(2*time.Second)), after(2*time.Second)))
+	for i := range 100 {
+		now := after(time.Duration(i+3) * time.Second)
+		require.Empty(t, a.RecordFromPeer(b.Reports(now), now.Add(200*time.Millisecond)))
+		require.Empty(t, b.RecordFromPeer(a.Reports(now), now.Add(200*time.Millisecond)))
+	}
+	crashes, first := a.Crashes(part, after(time.Minute))
+	require.Equal(t, 3, crashes)
+	require.WithinDuration(t, start, first, time.Second, "the age doesn't shrink with each message")
+
+	starting := NewTracker()
+	require.Equal(t, []PartKey{part}, starting.RecordFromPeer(a.Reports(after(2*time.Minute)), after(2*time.Minute)))
+
+	stale := b.Reports(after(3 * time.Minute))
+	a.RecordComplete([]PartKey{part}, after(3*time.Minute))
+	require.Empty(t, a.RecordFromPeer(stale, after(3*time.Minute+time.Second)), "older evidence is void")
+	require.Empty(t, b.RecordFromPeer(a.Reports(after(3*time.Minute+time.Second)), after(3*time.Minute+time.Second)))
+	_, blocked := b.Blocked([]PartKey{part}, after(3*time.Minute+time.Second))
+	require.False(t, blocked)
+}
+
+// TestAbsurdReports checks that reports that can't be true or are too many do no harm.
+func TestAbsurdReports(t *testing.T) {
+	tests := map[string]Report{
+		"in the future": {Part: 1, ClearedAge: -1, Crashes: []Crash{{1, -time.Hour}, {2, -time.Hour}, {3, -time.Hour}}},
+		"too old":       {Part: 1, ClearedAge: -1, Crashes: []Crash{{1, time.Hour}, {2, time.Hour}, {3, time.Hour}}},
+		"cleared since": {Part: 1, ClearedAge: 0, Crashes: []Crash{{1, time.Second}, {2, time.Second}, {3, time.Second}}},
+	}
+	for name, r := range tests {
+		t.Run(name, func(t *testing.T) {
+			tr := NewTracker()
+			require.Empty(t, tr.RecordFromPeer([]Report{r}, start))
+			_, blocked := tr.Blocked([]PartKey{1}, start)
+			require.False(t, blocked)
+		})
+	}
+	t.Run("many", func(t *testing.T) {
+		tr := NewTracker()
+		for i := range 3 * maxParts {
+			r := Report{Part: PartKey(i + 10), ClearedAge: -1, Crashes: []Crash{{TargetKey(i), 0}}}
+			tr.RecordFromPeer([]Report{r}, after(time.Duration(i)))
+		}
+		require.LessOrEqual(t, len(tr.records), maxParts)
+		require.LessOrEqual(t, len(tr.Reports(after(time.Second))), MaxReports)
+		for target := range TargetKey(3) {
+			tr.RecordCrash([]PartKey{1}, target, after(time.Second))
+		}
+		_, blocked := tr.Blocked([]PartKey{1}, after(time.Second))
+		require.True(t, blocked, "real evidence has room")
+	})
+}
--- a/fitting/work.go
+++ b/fitting/work.go
@@ -46,7 +46,7 @@
 // parts before it are shared by more requests and cached nearly everywhere.
 func (w Work) ReusableTokens() int {
 	n := 0
-	for _, p := range w.shared() {
+	for _, p := range w.SharedParts() {
 		n = max(n, p.tokens)
 	}
 	return n
@@ -55,7 +55,7 @@
 // PromptKey returns the key of the shared parts of the prompt, or false if
 // nothing is shared.
 func (w Work) PromptKey() (uint64, bool) {
-	shared := w.shared()
+	shared := w.SharedParts()
 	if len(shared) == 0 {
 		return 0, false
 	}
@@ -67,8 +67,8 @@
 // key.
 func PromptKey(model string, part uint64) uint64 { return mix(uint64(KeyOf(model)) ^ part) }
 
-// shared returns all parts but the last, which is the request's own.
-func (w Work) shared() []Part {
+// SharedParts returns all parts but the last, which is the request's own.
+func (w Work) SharedParts() []Part {
 	if len(w.parts) < 2 {
 		return nil
 	}
