--- a/cmd/router/gateway/defects.go
+++ b/cmd/router/gateway/defects.go
@@ -51,6 +51,7 @@
 	}
 	now := t.g.clock.Now()
 	t.g.logBlocked(t.g.defects.RecordCrash(t.parts, defect.TargetKey(u.key), now), "own", now)
+	t.g.peers.announce()
 	if t.g.defects.MayResend(t.parts, now) {
 		return true
 	}
@@ -58,6 +59,17 @@
 	return false
 }
 
+// recordComplete records a complete response, which clears the parts of the prompt.
+func (t *transaction) recordComplete() {
+	unblocked := t.g.defects.RecordComplete(t.parts, t.g.clock.Now())
+	for _, p := range unblocked {
+		t.g.log.Info("a part of prompts was answered; no longer rejected", "part", formatPart(p), "request", t.req.ID())
+	}
+	if len(unblocked) > 0 {
+		t.g.peers.announce()
+	}
+}
+
 // logBlocked logs parts that are blocked from now on. source is the peer that reported
 // the last crash, or "own".
 func (g *Gateway) logBlocked(parts []defect.PartKey, source string, now time.Time) {
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -208,6 +208,13 @@
 	return max((len(p.known)+peersPerInterval-1)/peersPerInterval, 1)
 }
 
+// announce makes the next datagrams go to every peer.
+func (p *peers) announce() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.repeatsLeft = changeRepeats
+}
+
 // shareDue reports whether a datagram is due, and whether the versions have
 // changed, so that everyone must get it. Without requests in flight and changes
 // some intervals are skipped.
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -19,7 +19,7 @@
 	t.releaseConn(o, err)
 	if err == nil {
 		if t.responseStarted {
-			t.g.defects.RecordComplete(t.parts, t.g.clock.Now())
+			t.recordComplete()
 		}
 		t.startResponse(o)
 		t.completed = true
--- a/defect/tracker.go
+++ b/defect/tracker.go
@@ -74,18 +74,24 @@
 }
 
 // RecordComplete records a complete response to a request with the parts, which clears
-// them.
-func (t *Tracker) RecordComplete(parts []PartKey, now time.Time) {
+// them. It returns those that were blocked.
+func (t *Tracker) RecordComplete(parts []PartKey, now time.Time) (unblocked []PartKey) {
 	if t.known.Load() == 0 {
-		return
+		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range parts {
-		if r := t.records[p]; r != nil && len(r.crashes) > 0 {
-			r.clear(now, now)
+		r := t.records[p]
+		if r == nil || len(r.crashes) == 0 {
+			continue
+		}
+		if r.count(now) >= CrashesToBlock {
+			unblocked = append(unblocked, p)
 		}
+		r.clear(now, now)
 	}
+	return unblocked
 }
 
 // Blocked returns the first part that crashes targets, if there is one. A part all of
