A stream without length, chunks and events is broken off

A target that crashes between head and first event then looks as if it had sent a complete, empty stream: the caller got a 200 with no body and nothing was retried.

TestResponses has the cases; 'stream without chunks and events' gave 200 and 'the same, retried' an empty body before. A stream that ends inside an event was already broken off, one with all of its events is complete.

--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -49,6 +49,11 @@
 	stopWatch func() bool
 }
 
+// endsWithConn reports whether the body has neither a length nor chunks.
+func (o responded) endsWithConn() bool {
+	return o.response.ContentLength < 0 && len(o.response.TransferEncoding) == 0
+}
+
 func (notSent) outcome()    {}
 func (notRun) outcome()     {}
 func (noResponse) outcome() {}
--- a/cmd/router/gateway/gateway_test.go
+++ b/cmd/router/gateway/gateway_test.go
@@ -46,6 +46,10 @@
 		"stream truncated twice":                      {"/stream/x", []platformtest.Behaviour{platformtest.Truncate, platformtest.Truncate}, 200, "", true, true, 2},
 		"head without events":                         {"/broken/x", []platformtest.Behaviour{platformtest.HeadOnly}, 502, "", false, false, 1},
 		"head without events is retried":              {"/stream/x", []platformtest.Behaviour{platformtest.HeadOnly, platformtest.Serve}, 200, platformtest.Stream(), true, false, 2},
+		"stream without chunks":                       {"/stream/x", []platformtest.Behaviour{platformtest.Unframed}, 200, platformtest.Stream(), true, false, 1},
+		"stream without chunks and events":            {"/broken/x", []platformtest.Behaviour{platformtest.UnframedHeadOnly}, 502, "", false, false, 1},
+		"the same, retried":                           {"/stream/x", []platformtest.Behaviour{platformtest.UnframedHeadOnly, platformtest.Serve}, 200, platformtest.Stream(), true, false, 2},
+		"truncated stream without chunks is resumed":  {"/stream/x", []platformtest.Behaviour{platformtest.UnframedTruncate, platformtest.Serve}, 200, platformtest.Stream(), true, false, 2},
 		"response to another request before a stream": {"/broken/x", []platformtest.Behaviour{platformtest.WrongIDFirst}, 200, platformtest.Stream(), true, false, 1},
 		"unknown route":                               {"/nowhere/x", nil, 404, "", false, false, 0},
 	}
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -66,14 +66,17 @@
 func (e *callerWriteError) Unwrap() error { return e.cause }
 
 // copyEvents forwards complete events until the end of the stream. An incomplete
-// event is dropped.
+// event is dropped. A stream that only the end of its connection ends, and that has no
+// event, is incomplete: a target that crashes closes its connections as well.
 func (t *transaction) copyEvents(o responded, onFirstEvent func()) error {
 	controller := http.NewResponseController(t.w)
 	events := newEventBuffer(eventBufferSize)
+	empty := true
 	for {
 		n, err := o.response.Body.Read(events.free())
 		complete := events.advance(n)
 		if len(complete) > 0 {
+			empty = false
 			onFirstEvent()
 			t.startResponse(o)
 			if _, err := t.w.Write(complete); err != nil {
@@ -88,7 +91,7 @@
 			events.consume(len(complete))
 		}
 		if errors.Is(err, io.EOF) {
-			if events.pending() > 0 {
+			if events.pending() > 0 || empty && o.endsWithConn() {
 				return io.ErrUnexpectedEOF
 			}
 			return nil
