Bound the head of a target's response and an event of a stream

A head was read into memory until the request's deadline, an event too; at 700 Mbit/s that is more than the 136 MB of the small VMs in two seconds.

Cases 'head without end' and 'event without end' of TestResponses gave 504 at the timeout before and 502 at once now: a head ends within 256 KB, an event within 1 MB, or the connection is closed. Bodies without end of other requests go to the caller as they come, until the deadline; they take no memory.

--- a/cmd/router/channel/conn.go
+++ b/cmd/router/channel/conn.go
@@ -14,13 +14,17 @@
 	readBufferSize = 4 << 10
 	// maxInterim is the number of 1xx responses read before the final one.
 	maxInterim = 4
+	// maxHeadBytes bounds what is read of heads of responses.
+	maxHeadBytes = 256 << 10
 )
 
 // Conn is a pooled connection to one incarnation of a target.
 type Conn struct {
 	net.Conn
-	pool        *Pool
-	reader      *bufio.Reader
+	pool   *Pool
+	reader *bufio.Reader
+	// limit bounds what reader reads while a head is awaited.
+	limit       *readLimit
 	reused      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -34,8 +38,11 @@
 func (c *Conn) IdleTime() time.Duration { return c.idleTime }
 
 // ReadResponse reads the head of the next response and skips up to maxInterim
-// interim ones. Its body is read from the connection.
+// interim ones. Its body is read from the connection. It returns a *HeadTooLargeError if
+// the heads don't end.
 func (c *Conn) ReadResponse(method string) (*http.Response, error) {
+	c.limit.set(maxHeadBytes)
+	defer c.limit.lift()
 	for range maxInterim {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
--- a/cmd/router/channel/pool.go
+++ b/cmd/router/channel/pool.go
@@ -163,7 +163,8 @@
 		p.connClosed()
 		return nil, &ConnectError{address: p.address, cause: err}
 	}
-	return &Conn{Conn: c, pool: p, reader: bufio.NewReaderSize(c, readBufferSize)}, nil
+	head := &readLimit{in: c}
+	return &Conn{Conn: c, pool: p, limit: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/cmd/router/gateway/event_buffer.go
+++ b/cmd/router/gateway/event_buffer.go
@@ -1,6 +1,19 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+	"fmt"
+)
+
+// maxEventSize bounds an event of a stream, in bytes.
+const maxEventSize = 1 << 20
+
+// eventTooLargeError says that a target sent an event without end.
+type eventTooLargeError struct{}
+
+func (eventTooLargeError) Error() string {
+	return fmt.Sprintf("an event is longer than %d bytes", maxEventSize)
+}
 
 var (
 	eventEnd = []byte("\n\n")
--- a/cmd/router/gateway/gateway_test.go
+++ b/cmd/router/gateway/gateway_test.go
@@ -50,6 +50,8 @@
 		"stream without chunks and events":            {"/broken/x", []platformtest.Behaviour{platformtest.UnframedHeadOnly}, 502, "", false, false, 1},
 		"the same, retried":                           {"/stream/x", []platformtest.Behaviour{platformtest.UnframedHeadOnly, platformtest.Serve}, 200, platformtest.Stream(), true, false, 2},
 		"truncated stream without chunks is resumed":  {"/stream/x", []platformtest.Behaviour{platformtest.UnframedTruncate, platformtest.Serve}, 200, platformtest.Stream(), true, false, 2},
+		"head without end":                            {"/once/x", []platformtest.Behaviour{platformtest.EndlessHead}, 502, "", false, false, 1},
+		"event without end":                           {"/broken/x", []platformtest.Behaviour{platformtest.EndlessEvent}, 502, "", false, false, 1},
 		"response to another request before a stream": {"/broken/x", []platformtest.Behaviour{platformtest.WrongIDFirst}, 200, platformtest.Stream(), true, false, 1},
 		"unknown route":                               {"/nowhere/x", nil, 404, "", false, false, 0},
 	}
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -66,10 +66,8 @@
 func (e *callerWriteError) Unwrap() error { return e.cause }
 
 // copyEvents forwards complete events until the end of the stream. An incomplete
-// event is dropped. A stream that only the end of its connection ends, and that has no
-// event, is incomplete: a target that crashes closes its connections as well.
+// event is dropped.
 func (t *transaction) copyEvents(o responded, onFirstEvent func()) error {
-	controller := http.NewResponseController(t.w)
 	events := newEventBuffer(eventBufferSize)
 	empty := true
 	for {
@@ -79,25 +77,42 @@
 			empty = false
 			onFirstEvent()
 			t.startResponse(o)
-			if _, err := t.w.Write(complete); err != nil {
-				return &callerWriteError{cause: err}
-			}
-			if err := controller.Flush(); err != nil {
-				return &callerWriteError{cause: err}
-			}
-			if id := lastID(complete); id != "" {
-				t.lastEventID = id
+			if err := t.writeEvents(complete); err != nil {
+				return err
 			}
 			events.consume(len(complete))
 		}
-		if errors.Is(err, io.EOF) {
-			if events.pending() > 0 || empty && o.endsWithConn() {
-				return io.ErrUnexpectedEOF
-			}
+		if events.pending() > maxEventSize {
+			return eventTooLargeError{}
+		}
+		if errors.Is(err, io.EOF) && !cutOff(o, events, empty) {
 			return nil
 		}
+		if errors.Is(err, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
 		if err != nil {
 			return err
 		}
 	}
 }
+
+// cutOff reports whether a body that has ended is incomplete: it ends inside an event, or
+// it is empty and only the end of the connection ends it, as that of a target that crashes.
+func cutOff(o responded, events *eventBuffer, empty bool) bool {
+	return events.pending() > 0 || empty && o.endsWithConn()
+}
+
+// writeEvents sends complete events to the caller.
+func (t *transaction) writeEvents(complete []byte) error {
+	if _, err := t.w.Write(complete); err != nil {
+		return &callerWriteError{cause: err}
+	}
+	if err := http.NewResponseController(t.w).Flush(); err != nil {
+		return &callerWriteError{cause: err}
+	}
+	if id := lastID(complete); id != "" {
+		t.lastEventID = id
+	}
+	return nil
+}
