--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -1,15 +1,11 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"vanillalug.example"
 	"vanillalug.example/crew"
 	"vanillalug.example/peer"
@@ -35,14 +31,6 @@
 	// peerCallTimeout is how long a peer's reply may take to begin, and how long it may
 	// stop arriving.
 	peerCallTimeout = 1500 * time.Millisecond
-	// seedInterval is the time between two requests to seeds, with a jitter of
-	// ±50%.
-	seedInterval = 300 * time.Millisecond
-	// seedsPerRound is the number of seeds that are asked at once.
-	seedsPerRound = 2
-	// seedTimeout is peerCallTimeout for seeds: one that does not respond delays the
-	// other's reply.
-	seedTimeout = 600 * time.Millisecond
 )
 
 // versions are the versions of the routing table and the registry that a router
@@ -129,98 +117,6 @@
 	}
 }
 
-// mostAhead returns a peer that was heard of lately and has something newer. If there
-// are newer routing tables, it is any of those with the newest one, so that not everyone
-// asks the same; otherwise any of those with the newest registry.
-func (p *peers) mostAhead(current versions) (peerVersions, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	since := p.clock.Now().Add(-p.ttl())
-	var best []peerVersions
-	for name, reported := range p.versions {
-		if !current.behind(reported) || !p.known[name].lastSeen.After(since) {
-			continue
-		}
-		switch order := compareAhead(current, reported, best); {
-		case order > 0:
-			best = []peerVersions{reported}
-		case order == 0:
-			best = append(best, reported)
-		}
-	}
-	if len(best) == 0 {
-		return peerVersions{}, false
-	}
-	return best[rand.IntN(len(best))], true
-}
-
-// compareAhead compares what a peer has with the best ones so far; the registries count
-// only where no peer has a newer routing table.
-func compareAhead(current versions, reported peerVersions, best []peerVersions) int {
-	if len(best) == 0 {
-		return 1
-	}
-	if order := cmp.Compare(reported.table, best[0].table); order != 0 || reported.table > current.table {
-		return order
-	}
-	return reported.registry.Compare(best[0].registry)
-}
-
-// bootstrap queries the seeds until this router is ready, as the store may reject
-// just this one.
-func (g *Gateway) bootstrap(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, seedInterval/2+rand.N(seedInterval))
-		if g.Ready() {
-			return
-		}
-		g.syncFromSeeds(ctx)
-	}
-}
-
-// syncFromSeeds applies what the seeds have, that of the most recent one first: one
-// that was cut off for long has targets that have left and keys that were revoked.
-func (g *Gateway) syncFromSeeds(ctx context.Context) {
-	seeds := g.otherSeeds()
-	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
-	seeds = seeds[:min(len(seeds), seedsPerRound)]
-	current := g.versions()
-	replies := make([]*peer.GetBeliefsReply, len(seeds))
-	var calls errgroup.Group
-	for i, address := range seeds {
-		calls.Go(func() (err error) {
-			replies[i], err = g.callPeerWithin(ctx, seedTimeout, address, current, &peer.GetBeliefsRequest{Insist: true})
-			if err != nil {
-				g.log.Warn("cannot get the state of a seed", "peer", address.String(), "error", err)
-			}
-			return nil
-		})
-	}
-	if err := calls.Wait(); err != nil {
-		g.log.Warn("cannot ask the seeds", "error", err)
-	}
-	for _, i := range newestFirst(replies) {
-		g.applyReply(replies[i], seeds[i], current)
-	}
-}
-
-// newestFirst returns the indexes of the replies, those with newer versions first,
-// without missing ones.
-func newestFirst(replies []*peer.GetBeliefsReply) []int {
-	var out []int
-	for i, r := range replies {
-		if r != nil {
-			out = append(out, i)
-		}
-	}
-	slices.SortFunc(out, func(a, b int) int {
-		return cmp.Or(
-			cmp.Compare(replies[b].PlanVersion, replies[a].PlanVersion),
-			registryRevision(replies[b]).Compare(registryRevision(replies[a])))
-	})
-	return out
-}
-
 // syncFromPeer requests what a peer has beyond this router and applies it. A peer that
 // doesn't compress a large routing table sends it only if insist is set.
 func (g *Gateway) syncFromPeer(ctx context.Context, address netip.AddrPort, insist bool) {
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -176,39 +176,6 @@
 	}
 }
 
-// interrupt cancels the call in progress, so that the store is polled at once. A call
-// whose response is arriving goes on.
-func (w *watcher) interrupt() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.cancel != nil && (w.call == nil || !reception.Receiving(w.call)) {
-		w.cancel(errInterrupted)
-	}
-}
-
-// cancelPoll cancels a poll in progress, also one whose response is arriving: a peer has
-// sent what it would return.
-func (w *watcher) cancelPoll() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.call != nil {
-		w.cancel(errInterrupted)
-	}
-}
-
-// startCall records the context of the call in progress, which endCall clears.
-func (w *watcher) startCall(ctx context.Context) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.call = ctx
-}
-
-func (w *watcher) endCall() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.call = nil
-}
-
 // pollOnce makes one call and reports whether it returned any change.
 func (w *watcher) pollOnce(ctx context.Context) (changed bool, err error) {
 	since := w.knownRevision()
--- a/defect/tracker.go
+++ b/defect/tracker.go
@@ -1,7 +1,6 @@
 package defect
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -46,17 +45,6 @@
 	records map[PartKey]*record
 }
 
-// record is the evidence about one part.
-type record struct {
-	// crashes has the time of the last crash of each target.
-	crashes map[TargetKey]time.Time
-	// clearedAt is when a complete response was seen; the zero time if none was.
-	clearedAt time.Time
-	// changedAt is when the record was last changed by an observation of this router
-	// or a report that was news.
-	changedAt time.Time
-}
-
 // NewTracker returns a Tracker without evidence.
 func NewTracker() *Tracker { return &Tracker{records: map[PartKey]*record{}} }
 
@@ -164,16 +152,6 @@
 	return false
 }
 
-// covers reports whether every crash that counts for another part is one of this part.
-func (r *record) covers(other *record, now time.Time) bool {
-	for target, at := range other.crashes {
-		if _, both := r.crashes[target]; !both && now.Sub(at) < evidenceTTL {
-			return false
-		}
-	}
-	return true
-}
-
 // addCrash adds a crash and reports whether it blocks the part; the caller holds mu.
 func (t *Tracker) addCrash(p PartKey, target TargetKey, at, now time.Time) (blocks bool) {
 	r := t.records[p]
@@ -198,42 +176,6 @@
 	return before < CrashesToBlock && r.count(now) >= CrashesToBlock
 }
 
-// clear makes the crashes up to a time void.
-func (r *record) clear(at, now time.Time) {
-	if !at.After(r.clearedAt) {
-		return
-	}
-	r.clearedAt = at
-	r.changedAt = now
-	for target, crashed := range r.crashes {
-		if !crashed.After(at) {
-			delete(r.crashes, target)
-		}
-	}
-}
-
-// count returns the number of crashes that still count.
-func (r *record) count(now time.Time) int {
-	n := 0
-	for _, at := range r.crashes {
-		if now.Sub(at) < evidenceTTL {
-			n++
-		}
-	}
-	return n
-}
-
-func (r *record) dropOldest() {
-	var oldest TargetKey
-	var oldestAt time.Time
-	for target, at := range r.crashes {
-		if oldestAt.IsZero() || at.Before(oldestAt) {
-			oldest, oldestAt = target, at
-		}
-	}
-	delete(r.crashes, oldest)
-}
-
 // evict makes room if there are too many records: it drops the expired ones, or else those
 // with the least and oldest evidence. The caller holds mu.
 func (t *Tracker) evict(now time.Time) {
@@ -256,12 +198,3 @@
 		delete(t.records, p)
 	}
 }
-
-func (r *record) expired(now time.Time) bool {
-	return r.count(now) == 0 && now.Sub(r.clearedAt) >= clearTTL
-}
-
-// compare orders records by their crashes, then by the time of their last change.
-func (r *record) compare(other *record, now time.Time) int {
-	return cmp.Or(cmp.Compare(r.count(now), other.count(now)), r.changedAt.Compare(other.changedAt))
-}
