A broken routing table from a peer doesn't hide the store's

A peer's table that can't be decoded advanced the revision up to which the store's changes are known, so the store wasn't asked for that version again: the router kept the old one until the next version. TestBrokenTableFromPeer had only texts that can't be unpacked; its case 'no table' failed before (revision 900). The revision now follows what is active.

--- a/cmd/router/gateway/table_transfer.go
+++ b/cmd/router/gateway/table_transfer.go
@@ -64,6 +64,9 @@
 		return
 	}
 	g.applyTable(&activeTable{raw: raw, compressed: reply.CompressedPlan, revision: planRevision(reply)}, source)
+	if !g.table.Load().includes(planRevision(reply)) {
+		return
+	}
 	g.watchers.table.advance(planRevision(reply))
 	if len(raw) >= largeTable {
 		g.watchers.table.cancelPoll()
--- a/cmd/router/gateway/table_transfer_test.go
+++ b/cmd/router/gateway/table_transfer_test.go
@@ -70,16 +70,20 @@
 	require.NotEmpty(t, reply.CompressedPlan)
 }
 
-// TestBrokenTableFromPeer checks that a routing table that can't be read changes nothing.
+// TestBrokenTableFromPeer checks that a routing table that can't be read changes nothing;
+// the store must deliver it all the same.
 func TestBrokenTableFromPeer(t *testing.T) {
 	tr := newTestRouter(t)
 	tr.waitReady(0)
-	for name, compressed := range map[string][]byte{"no gzip": []byte("text"), "cut": {0x1f, 0x8b, 8, 0, 0}} {
+	noTable, err := (&activeTable{raw: []byte("no table")}).compress()
+	require.NoError(t, err)
+	tests := map[string][]byte{"no gzip": []byte("text"), "cut": {0x1f, 0x8b, 8, 0, 0}, "no table": noTable}
+	for name, compressed := range tests {
 		t.Run(name, func(t *testing.T) {
 			tr.g.applyPeerTable(&peer.GetBeliefsReply{PlanVersion: 9, PlanRevision: 900, CompressedPlan: compressed}, "peer")
 			require.Equal(t, uint64(1), tr.tableVersion())
 			require.Less(t, tr.g.watchers.table.knownRevision().Number(), uint64(900))
-			require.Contains(t, tr.logs.String(), "cannot read a peer's routing table")
+			require.Regexp(t, "cannot (read a peer's|decode the) routing table", tr.logs.String())
 		})
 	}
 }
