A whole table that is arriving isn't interrupted either

When the registry's poll recovered meanwhile, a large page was dropped and begun again. TestLargeTableOverNarrowLink, 'at the start', now interrupts all the while and failed before (no table after 6 s).

--- a/cmd/router/gateway/large_table_test.go
+++ b/cmd/router/gateway/large_table_test.go
@@ -43,6 +43,7 @@
 		publishLarge(store, 1)
 		store.SetBandwidth(narrowLink / 2)
 		tr := newTestRouterAt(t, store, "r1")
+		tr.t.Cleanup(tr.g.clock.Every(narrowProxyInterval, func(time.Time) { tr.g.watchers.table.interrupt() }))
 		require.Eventually(t, func() bool { return tr.tableVersion() == 1 }, 2*applyTimeout, pollInterval)
 	})
 	t.Run("reported by a peer", func(t *testing.T) {
--- a/cmd/router/gateway/read_table.go
+++ b/cmd/router/gateway/read_table.go
@@ -15,8 +15,10 @@
 		w.reader = w.newReader()
 		w.readStart = now
 	}
-	if err := readPages(ctx, w.reader); err != nil {
-		return err
+	for !w.reader.Done() {
+		if err := w.readPage(ctx); err != nil {
+			return err
+		}
 	}
 	rows := w.reader.Rows()
 	w.reader = nil
@@ -25,6 +27,14 @@
 	return nil
 }
 
+func (w *watcher) readPage(ctx context.Context) error {
+	ctx, cancel := pageContext(ctx)
+	defer cancel()
+	w.startCall(ctx)
+	defer w.endCall()
+	return w.reader.Next(ctx)
+}
+
 // readPages reads the remaining pages.
 func readPages(ctx context.Context, r *platform.TableReader) error {
 	for !r.Done() {
@@ -36,7 +46,11 @@
 }
 
 func readPage(ctx context.Context, r *platform.TableReader) error {
-	ctx, cancel := reception.WithIdleTimeout(ctx, pageTimeout, pageTimeout)
+	ctx, cancel := pageContext(ctx)
 	defer cancel()
 	return r.Next(ctx)
 }
+
+func pageContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	return reception.WithIdleTimeout(ctx, pageTimeout, pageTimeout)
+}
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -97,7 +97,7 @@
 
 	mu          sync.Mutex
 	cancel      context.CancelCauseFunc
-	call        context.Context          // of the poll in progress; nil if there is none
+	call        context.Context          // of the call in progress; nil if there is none
 	revision    vanillalug.StoreRevision // changes up to here are known; zero before the first full read
 	lastSuccess time.Time
 }
