--- a/cmd/router/gateway/defects_test.go
+++ b/cmd/router/gateway/defects_test.go
@@ -20,17 +20,10 @@
 	maxCrashes = 5
 )
 
-// withParts sets the parts of the prompt; the last one is the request's own.
+// withParts sets the shared parts of the prompt and one of the request's own.
 func withParts(id string, parts ...string) func(*http.Request) {
-	return func(r *http.Request) {
-		header := ""
-		for _, p := range parts {
-			header += p + ":1000,"
-		}
-		r.Header.Set("X-Model", "m")
-		r.Header.Set("X-Token-Count", "3000,50")
-		r.Header.Set("X-Prefix-Hash", header+strconv.FormatUint(hashOf(id), 16)+":100")
-	}
+	own := strconv.FormatUint(hashOf(id), 16)
+	return func(r *http.Request) { platformtest.SetPrompt(r, "m", append(parts, own)...) }
 }
 
 // TestPromptPartCrashesTargets guards against requests with a part of the prompt that
