--- a/cmd/router/gateway/defects_test.go
+++ b/cmd/router/gateway/defects_test.go
@@ -23,7 +23,7 @@
 // withParts sets the shared parts of the prompt and one of the request's own.
 func withParts(id string, parts ...string) func(*http.Request) {
 	own := strconv.FormatUint(hashOf(id), 16)
-	return func(r *http.Request) { platformtest.SetPrompt(r, "m", append(parts, own)...) }
+	return func(r *http.Request) { platformtest.SetPromptParts(r, "m", append(parts, own)...) }
 }
 
 // TestPromptPartCrashesTargets guards against requests with a part of the prompt that
