--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"vanillalug.example/fitting"
+	"vanillalug.example/quota"
 )
 
 // selectUpstream selects the target of the next attempt, or returns a rejection.
@@ -20,6 +21,9 @@
 	switch decision := fitting.Choose(req, candidates).(type) {
 	case fitting.Chosen:
 		t.choice = describeChoice(candidates, decision.Index)
+		if limit := t.g.limits.Limit(quota.TargetKey(upstreams[decision.Index].key)); limit.Limited() {
+			t.choice += fmt.Sprintf(" limit=%.2f", limit.Rate())
+		}
 		t.copyFrom = ""
 		if decision.Source != fitting.NoSource {
 			t.copyFrom = upstreams[decision.Source].target.Address()
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"vanillalug.example/peer"
 	"vanillalug.example/plan"
 	"vanillalug.example/platform"
+	"vanillalug.example/quota"
 	"vanillalug.example/schedule"
 )
 
@@ -57,6 +58,8 @@
 	// defects has the parts of prompts that crash targets.
 	defects     *defect.Tracker
 	retryBudget *allowance.WindowBudget
+	// limits has the requests a second that targets take from all routers together.
+	limits *quota.Table
 	// idleTimeouts are estimates of how long connections to targets may be idle.
 	idleTimeouts idleTimeouts
 	peers        *peers
@@ -125,6 +128,7 @@
 		defects:          defect.NewTracker(),
 		failing:          map[string]bool{},
 		retryBudget:      allowance.NewWindowBudget(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
+		limits:           quota.NewTable(),
 		view:             crew.NewView(),
 	}
 	g.upstreams.Store(&upstreamSet{byService: map[string][]*upstream{}, byIncarnation: map[string]*upstream{}})
--- a/cmd/router/gateway/target_state.go
+++ b/cmd/router/gateway/target_state.go
@@ -1,18 +1,51 @@
 package gateway
 
 import (
+	"time"
+
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/crew"
 	"vanillalug.example/platform"
+	"vanillalug.example/quota"
 )
 
-// observeState handles what a response states of its target: that it is leaving, or
-// that it wants no requests for a time. request is the id of the request, or "".
+// observeState handles what a response states of its target: that it is leaving, that it
+// wants no requests for a time, or how many it takes. request is the id of the request,
+// or "".
 func (g *Gateway) observeState(u *upstream, r platform.Response, request string) {
 	if r.Leaving() {
 		g.withdrawLeaving(u, request)
 	}
 	now := g.clock.Now()
+	g.observeLimit(u, r, request, now)
+	g.observePause(u, r, request, now)
+}
+
+// observeLimit records the limit that a target names, or that it names none any more.
+func (g *Gateway) observeLimit(u *upstream, r platform.Response, request string, now time.Time) {
+	limit, stated, err := r.RateLimit()
+	if err != nil {
+		g.log.Warn("ignored the limit that a target named", "request", request, "target", u.target.Incarnation(), "error", err)
+	}
+	if !stated {
+		return
+	}
+	if limit.Limited() {
+		meter.CountBy("responses_with_limit", "service", u.target.Service())
+	}
+	before := g.limits.Observe(quota.TargetKey(u.key), limit, now)
+	switch {
+	case limit.Limited() && !before.Limited():
+		g.log.Info("target names a limit", "request", request, "target", u.target.Incarnation(),
+			"service", u.target.Service(), "requests-per-second", limit.Rate())
+	case !limit.Limited() && before.Limited():
+		g.log.Info("target names no limit any more", "request", request, "target", u.target.Incarnation(),
+			"service", u.target.Service(), "before", before.Rate())
+	}
+}
+
+// observePause records that a target wants no requests for a time.
+func (g *Gateway) observePause(u *upstream, r platform.Response, request string, now time.Time) {
 	pause, err := r.Pause(now)
 	if err != nil {
 		g.log.Warn("ignored the pause that a target asked for", "request", request, "target", u.target.Incarnation(), "error", err)
--- a/cmd/router/gateway/target_state_test.go
+++ b/cmd/router/gateway/target_state_test.go
@@ -168,3 +168,24 @@
 		})
 	}
 }
+
+// TestTargetNamesLimitInLogs checks that a limit that a target names is logged when it
+// is first named and when it is no more, so that its effect on requests can be told.
+func TestTargetNamesLimitInLogs(t *testing.T) {
+	tr := newTestRouter(t)
+	targets := tr.addTargets(plainService, "p1")
+	tr.waitReady(1)
+	targets[0].SetRateLimit("1000")
+	for i := range 3 {
+		require.Equal(t, 200, tr.post("/once/x", name("a", i), "work").status)
+	}
+	targets[0].SetRateLimit("wrong")
+	require.Equal(t, 200, tr.post("/once/x", "b", "work").status)
+	targets[0].SetRateLimit("")
+	require.Equal(t, 200, tr.post("/once/x", "c", "work").status)
+	logs := tr.logs.String()
+	require.Equal(t, 1, strings.Count(logs, `"@message":"target names a limit"`))
+	require.Equal(t, 1, strings.Count(logs, `"@message":"ignored the limit that a target named"`))
+	require.Equal(t, 1, strings.Count(logs, `"@message":"target names no limit any more"`))
+	require.Contains(t, logs, "limit=1000.00")
+}
