--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -1,19 +1,38 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"time"
 
 	"vanillalug.example/fitting"
-	"vanillalug.example/quota"
 )
 
-// selectUpstream selects the target of the next attempt, or returns a rejection.
-func (t *transaction) selectUpstream() (*upstream, *rejection) {
+// selectUpstream selects the target of the next attempt, or returns a rejection. If the
+// target names a limit, the request has a permit when it returns.
+func (t *transaction) selectUpstream(ctx context.Context) (*upstream, *rejection) {
+	for {
+		u, maxWait, rejected := t.chooseUpstream()
+		if rejected != nil {
+			return nil, rejected
+		}
+		if t.takePermit(ctx, u, maxWait) {
+			return u, nil
+		}
+		if t.permitsDenied > maxPermitsDenied {
+			wait := fitting.AfterPause(max(u.permitIn(t.g.clock.Now()), 0), t.g.choiceSeed.Add(1))
+			return nil, &rejection{status: http.StatusServiceUnavailable, reason: "targets are at their limits", retryAfter: wait}
+		}
+	}
+}
+
+// chooseUpstream selects the target of the next attempt, and how long the request may
+// wait for a permit, or returns a rejection.
+func (t *transaction) chooseUpstream() (u *upstream, maxWait time.Duration, rejected *rejection) {
 	now := t.g.clock.Now()
 	if rejected := t.rejectDefect(now); rejected != nil {
-		return nil, rejected
+		return nil, 0, rejected
 	}
 	upstreams := t.g.upstreams.Load().byService[t.service]
 	candidates := t.candidates(upstreams, now)
@@ -21,24 +40,21 @@
 	switch decision := fitting.Choose(req, candidates).(type) {
 	case fitting.Chosen:
 		t.choice = describeChoice(candidates, decision.Index)
-		if limit := t.g.limits.Limit(quota.TargetKey(upstreams[decision.Index].key)); limit.Limited() {
-			t.choice += fmt.Sprintf(" limit=%.2f", limit.Rate())
-		}
 		t.copyFrom = ""
 		if decision.Source != fitting.NoSource {
 			t.copyFrom = upstreams[decision.Source].target.Address()
 			t.choice += " source=" + upstreams[decision.Source].target.Incarnation()
 		}
-		return upstreams[decision.Index], nil
+		return upstreams[decision.Index], decision.MaxWait, nil
 	case fitting.Paused:
-		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "targets want no requests", retryAfter: decision.RetryAfter}
+		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "targets want no requests", retryAfter: decision.RetryAfter}
 	case fitting.Overloaded:
 		t.g.overloads.Rejected(t.service, now)
 		t.detail = fmt.Sprintf("pace=%s left=%s goal=%s crowded=%s total=%d of=%d",
 			req.ServiceTime, req.TimeLeft, req.Objective, req.OverloadedFor, totalRequests(candidates), len(candidates))
-		return nil, &rejection{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: decision.RetryAfter}
+		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: decision.RetryAfter}
 	}
-	return nil, &rejection{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: overloadRetryAfter}
+	return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: overloadRetryAfter}
 }
 
 // candidates returns the upstreams with their loads, cache state and health.
@@ -58,6 +74,10 @@
 		out[i] = fitting.Candidate{
 			Target: u.target, Load: loads[i], Cached: cached[i],
 			Suspect: u.suspect(now) || failing[i], Tried: t.tried[u.key], PausedFor: u.pausedFor(now),
+			Limited: t.g.limits.Limit(u.limitKey()).Limited(),
+		}
+		if out[i].Limited {
+			out[i].PermitIn = t.permitIn(u, now)
 		}
 	}
 	return out
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -60,6 +60,8 @@
 	retryBudget *allowance.WindowBudget
 	// limits has the requests a second that targets take from all routers together.
 	limits *quota.Table
+	// permits has those that this router issues for all routers.
+	permits *quota.Issuer
 	// idleTimeouts are estimates of how long connections to targets may be idle.
 	idleTimeouts idleTimeouts
 	peers        *peers
@@ -129,6 +131,7 @@
 		failing:          map[string]bool{},
 		retryBudget:      allowance.NewWindowBudget(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
 		limits:           quota.NewTable(),
+		permits:          quota.NewIssuer(),
 		view:             crew.NewView(),
 	}
 	g.upstreams.Store(&upstreamSet{byService: map[string][]*upstream{}, byIncarnation: map[string]*upstream{}})
@@ -200,5 +203,9 @@
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// StartDraining makes the router unready. Requests that still arrive are served.
-func (g *Gateway) StartDraining() { g.draining.Store(true) }
+// StartDraining makes the router unready. Requests that still arrive are served. The
+// peers are told at once that another router issues its permits.
+func (g *Gateway) StartDraining() {
+	g.draining.Store(true)
+	g.peers.announce()
+}
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -59,6 +59,8 @@
 	lastSeen time.Time
 	// following says that it was following the store then.
 	following bool
+	// issuesPermits says that it issues permits for targets that name a limit.
+	issuesPermits bool
 }
 
 // peerVersions are the address of a peer and the versions that it reported.
@@ -69,6 +71,8 @@
 	registryDigest uint64
 	// following says that the peer is following the store.
 	following bool
+	// issuesPermits says that the peer issues permits.
+	issuesPermits bool
 }
 
 // pendingPlacement is a placement that is still being sent to peers.
@@ -99,7 +103,10 @@
 func (p *peers) update(name string, reported peerVersions) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.known[name] = &peerRouter{address: reported.address, lastSeen: p.clock.Now(), following: reported.following}
+	p.known[name] = &peerRouter{
+		address: reported.address, lastSeen: p.clock.Now(),
+		following: reported.following, issuesPermits: reported.issuesPermits,
+	}
 	p.versions[name] = reported
 }
 
@@ -155,6 +162,20 @@
 	return out
 }
 
+// permitIssuers returns the peers that were seen within ttl and issue permits.
+func (p *peers) permitIssuers() map[string]netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := p.clock.Now().Add(-p.ttl())
+	out := make(map[string]netip.AddrPort, len(p.known))
+	for name, r := range p.known {
+		if r.issuesPermits && r.lastSeen.After(since) {
+			out[name] = r.address
+		}
+	}
+	return out
+}
+
 // aliveSince returns the time since which a peer must have sent a share for its
 // loads to count.
 func (p *peers) aliveSince() time.Time {
@@ -182,6 +203,14 @@
 // ttl returns the time in which each peer sends two shares, plus a margin.
 func (p *peers) ttl() time.Duration { return freshnessMargin + 2*p.cycle() }
 
+// newsTime returns the time in which every peer is sent two shares, so that what is new
+// reaches it although one is lost.
+func (p *peers) newsTime() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ttl()
+}
+
 // cycle returns the longest time until every peer was sent a share.
 func (p *peers) cycle() time.Duration {
 	return shareInterval * time.Duration(max(p.groups(), idleShareIntervals))
--- a/cmd/router/gateway/rate_limit_test.go
+++ b/cmd/router/gateway/rate_limit_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillalug.example/peer"
 	"vanillalug.example/platform/platformtest"
+	"vanillalug.example/quota"
 )
 
 const (
@@ -134,3 +136,95 @@
 		})
 	}
 }
+
+// issuerAndOther returns the router that issues the permits of a target, and one that doesn't.
+func (f *limitTestFleet) issuerAndOther(t *testing.T, key quota.TargetKey) (issuer, other *testRouter) {
+	require.Eventually(t, func() bool {
+		issuer, other = nil, nil
+		agreed := map[string]bool{}
+		for _, tr := range f.routers {
+			name, _ := tr.g.permitIssuer(key)
+			agreed[name] = true
+			if name == tr.g.cfg.Name {
+				issuer = tr
+			} else {
+				other = tr
+			}
+		}
+		return len(agreed) == 1 && issuer != nil
+	}, waitTimeout, pollInterval)
+	return issuer, other
+}
+
+// TestOneRouterIssuesPermits checks that only the router on which the others agree issues
+// the permits of a target, that one that shuts down leaves that to another, and that a
+// router that doesn't reply is replaced.
+func TestOneRouterIssuesPermits(t *testing.T) {
+	tests := map[string]func(issuer *testRouter){
+		"it shuts down":    func(issuer *testRouter) { issuer.g.StartDraining() },
+		"it is lost":       func(issuer *testRouter) { issuer.close() },
+		"nothing happens":  nil,
+		"it stops replies": func(issuer *testRouter) { issuer.cleanups[3]() },
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newLimitTestFleet(t, plainService, 1, 0)
+			require.Equal(t, http.StatusOK, f.routers[0].post("/once/x", "first", "work").status)
+			key := f.routers[0].g.upstreams.Load().byService[plainService][0].limitKey()
+			issuer, other := f.issuerAndOther(t, key)
+			ask := func(tr *testRouter) *peer.TakePermitReply {
+				limit := limitToProto(quota.Report{Target: key, Limit: quota.NewLimit(limitRate)})
+				reply, err := tr.g.TakePermit(t.Context(), &peer.TakePermitRequest{From: "test", Target: uint64(key), Limit: limit, MaxWaitMs: 1000})
+				require.NoError(t, err)
+				return reply
+			}
+			require.False(t, ask(other).Granted)
+			require.True(t, ask(issuer).Granted)
+			if end == nil {
+				return
+			}
+			end(issuer)
+			if name == "it stops replies" {
+				// It still sends datagrams: requests are rejected at once, not held.
+				w := other.post("/once/x", "second", "work")
+				require.Equal(t, http.StatusServiceUnavailable, w.status)
+				require.NotEmpty(t, w.header.Get("Retry-After"))
+				return
+			}
+			require.Eventually(t, func() bool {
+				return other.post("/once/x", "again", "work").status == http.StatusOK
+			}, waitTimeout, 10*pollInterval)
+			name, _ := other.g.permitIssuer(key)
+			require.NotEqual(t, issuer.g.cfg.Name, name)
+		})
+	}
+}
+
+// TestLimitThatEnds checks that every router sends as before once a target has stated to
+// one of them that it has no limit any more.
+func TestLimitThatEnds(t *testing.T) {
+	t.Parallel()
+	f := newLimitTestFleet(t, plainService, 1, 0)
+	require.Equal(t, http.StatusOK, f.routers[0].post("/once/x", "first", "work").status)
+	key := f.routers[0].g.upstreams.Load().byService[plainService][0].limitKey()
+	known := func(limited bool) func() bool {
+		return func() bool {
+			for _, tr := range f.routers {
+				if tr.g.limits.Limit(key).Limited() != limited {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	require.Eventually(t, known(true), waitTimeout, pollInterval)
+	f.targets[0].SetRateLimit("")
+	require.Eventually(t, func() bool {
+		return f.routers[0].post("/once/x", "second", "work").status == http.StatusOK
+	}, waitTimeout, pollInterval)
+	require.Eventually(t, known(false), waitTimeout, pollInterval)
+	for i := range 20 {
+		require.Equal(t, http.StatusOK, f.routers[i%3].post("/once/x", name("a", i), "work").status)
+	}
+}
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -57,8 +57,8 @@
 	out := &peer.Share{
 		From: g.cfg.Name, PlanVersion: current.table, RegistryDigest: current.registryDigest,
 		RegistryRevision: current.registry.Number(), RegistryEpoch: current.registry.Epoch(),
-		Following: g.watchers.registry.fresh(),
-		Loads:     make([]*peer.TargetLoad, 0, len(own)),
+		Following: g.watchers.registry.fresh(), IssuesPermits: !g.draining.Load(),
+		Loads: make([]*peer.TargetLoad, 0, len(own)),
 	}
 	for key, l := range own {
 		out.Loads = append(out.Loads, &peer.TargetLoad{
@@ -69,6 +69,7 @@
 		out.Failing = append(out.Failing, uint64(key))
 	}
 	out.Defects = defectsToProto(g.defects.Reports(now))
+	out.Limits = limitsToProto(g.limits.OwnReports(g.peers.newsTime(), now))
 	for _, p := range g.peers.recentPlacements(now) {
 		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
 	}
@@ -111,9 +112,11 @@
 	}
 	g.failureReports.RecordFromPeer(s.From, failing, now)
 	g.handleDefects(s.From, s.Defects)
+	g.limits.RecordFromPeer(limitsFromProto(s.Limits), now)
 	reported := peerVersions{
 		address: from, table: s.PlanVersion, registryDigest: s.RegistryDigest, following: s.Following,
-		registry: vanillalug.NewStoreRevision(s.RegistryEpoch, s.RegistryRevision),
+		registry:      vanillalug.NewStoreRevision(s.RegistryEpoch, s.RegistryRevision),
+		issuesPermits: s.IssuesPermits,
 	}
 	g.peers.update(s.From, reported)
 	if g.versions().behind(reported) {
--- a/cmd/router/gateway/target_state.go
+++ b/cmd/router/gateway/target_state.go
@@ -6,7 +6,6 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/crew"
 	"vanillalug.example/platform"
-	"vanillalug.example/quota"
 )
 
 // observeState handles what a response states of its target: that it is leaving, that it
@@ -33,7 +32,7 @@
 	if limit.Limited() {
 		meter.CountBy("responses_with_limit", "service", u.target.Service())
 	}
-	before := g.limits.Observe(quota.TargetKey(u.key), limit, now)
+	before := g.limits.Observe(u.limitKey(), limit, now)
 	switch {
 	case limit.Limited() && !before.Limited():
 		g.log.Info("target names a limit", "request", request, "target", u.target.Incarnation(),
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -46,7 +46,9 @@
 	// attempts counts the targets that may have received the request.
 	attempts       int
 	failedConnects int
-	tried          map[fitting.Key]bool
+	// permitsDenied counts the permits that the request was denied.
+	permitsDenied int
+	tried         map[fitting.Key]bool
 	// mayHaveRun says that a target may have executed the request.
 	mayHaveRun bool
 	// lastEventID is the id of the last event that was sent to the caller.
@@ -76,7 +78,7 @@
 	defer cancel()
 	defer t.limitWriteTime()()
 	for {
-		u, rejected := t.selectUpstream()
+		u, rejected := t.selectUpstream(ctx)
 		if rejected != nil {
 			t.fail(rejected)
 			return
--- a/cmd/router/gateway/upstream.go
+++ b/cmd/router/gateway/upstream.go
@@ -8,6 +8,7 @@
 	"vanillalug.example/cmd/router/channel"
 	"vanillalug.example/crew"
 	"vanillalug.example/fitting"
+	"vanillalug.example/quota"
 )
 
 const (
@@ -34,6 +35,8 @@
 	failures     int
 	suspectUntil time.Time
 	pausedUntil  time.Time
+	// permitFrom is when it is worth to ask for a permit again.
+	permitFrom time.Time
 }
 
 func newUpstream(t crew.Target) *upstream {
@@ -89,6 +92,23 @@
 	return u.pausedUntil.Sub(now)
 }
 
+// noPermitUntil records that no permit was to be had, and when it is worth to ask again.
+func (u *upstream) noPermitUntil(at time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.permitFrom = at
+}
+
+// permitIn returns the time until it is worth to ask for a permit; 0 or less is now.
+func (u *upstream) permitIn(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.permitFrom.Sub(now)
+}
+
+// limitKey returns the key of the target's limit.
+func (u *upstream) limitKey() quota.TargetKey { return quota.TargetKey(u.key) }
+
 // upstreamSet holds the upstreams of all usable targets; it is immutable.
 type upstreamSet struct {
 	byService     map[string][]*upstream
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -158,6 +158,7 @@
 func (g *Gateway) maintain(now time.Time) {
 	g.updateView(crew.Tick{At: now})
 	g.logFailingTargets(now)
+	g.forgetLimits(now)
 	for _, u := range g.upstreams.Load().byIncarnation {
 		u.pool.CloseExpired(now)
 	}
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -24,6 +24,9 @@
 	// requestCost is the delay that a request adds to the others at the engine, in
 	// milliseconds.
 	requestCost = 5
+	// limitCost is added for an engine that names a limit, in milliseconds, so that it
+	// is left to the requests whose prompt it has cached.
+	limitCost = 50
 )
 
 // Candidate is a target with its state as seen by this router.
@@ -40,6 +43,10 @@
 	// PausedFor is how long the target wants no requests from this router; 0 or
 	// less if it takes them.
 	PausedFor time.Duration
+	// Limited marks a target that names a limit, so that a request needs a permit.
+	Limited bool
+	// PermitIn is the time until it is worth to ask for a permit; 0 or less is now.
+	PermitIn time.Duration
 }
 
 // Request describes the request that a target is chosen for.
@@ -76,6 +83,8 @@
 	// Source is the index of the candidate from which the chosen one may copy the
 	// shared prompt, or NoSource.
 	Source int
+	// MaxWait is how long the request may wait for a permit.
+	MaxWait time.Duration
 }
 
 // NoSource is the Source of a choice without a candidate to copy from.
@@ -86,7 +95,7 @@
 type Overloaded struct{ RetryAfter time.Duration }
 
 // Paused rejects the request, as every target that it was not sent to wants no
-// requests for now. The caller may retry after the given time.
+// requests for now or is at its limit. The caller may retry after the given time.
 type Paused struct{ RetryAfter time.Duration }
 
 // NoTarget is returned when every candidate was tried or there is none.
@@ -97,13 +106,19 @@
 func (Paused) decision()     {}
 func (NoTarget) decision()   {}
 
-// Choose selects a target. It never selects targets that were tried or are paused,
-// and selects suspect ones only if no other is left.
+// Choose selects a target. It never selects targets that were tried or are paused. If no
+// other is left it selects the one whose next permit comes soonest, or a suspect one.
 func Choose(q Request, all []Candidate) Decision {
 	left := eligible(all)
+	if len(left) == 0 {
+		if i, ok := soonestPermit(q, all); ok {
+			return withCopySource(q, all, []int{i}, i, q.maxWait())
+		}
+		left = suspects(all)
+	}
 	if len(left) == 0 {
 		if d, ok := shortestPause(all); ok {
-			return Paused{RetryAfter: afterPause(d, q.Random)}
+			return Paused{RetryAfter: AfterPause(d, q.Random)}
 		}
 		return NoTarget{}
 	}
@@ -116,21 +131,28 @@
 	return chooseLeastLoaded(q, all, left)
 }
 
+// takesRequests reports whether the request may be sent to the candidate, as far as the
+// target itself is concerned.
+func (c Candidate) takesRequests() bool { return !c.Tried && c.PausedFor <= 0 }
+
 // eligible returns the indexes of the candidates that may be chosen.
 func eligible(all []Candidate) []int {
 	left := make([]int, 0, len(all))
-	var suspect []int
 	for i, c := range all {
-		switch {
-		case c.Tried || c.PausedFor > 0:
-		case c.Suspect:
-			suspect = append(suspect, i)
-		default:
+		if c.takesRequests() && !c.Suspect && c.PermitIn <= 0 {
 			left = append(left, i)
 		}
 	}
-	if len(left) == 0 {
-		return suspect
+	return left
+}
+
+// suspects returns the indexes of the suspect candidates that may be chosen.
+func suspects(all []Candidate) []int {
+	var left []int
+	for i, c := range all {
+		if c.takesRequests() && c.Suspect && c.PermitIn <= 0 {
+			left = append(left, i)
+		}
 	}
 	return left
 }
@@ -149,7 +171,7 @@
 		least := slices.MinFunc(left, func(a, b int) int {
 			return cmp.Compare(all[a].Load.requests, all[b].Load.requests)
 		})
-		return withCopySource(q, all, left, least)
+		return withCopySource(q, all, left, least, q.permitWait(all, left, least))
 	}
 	preferred := preferredEngine(key, all, left)
 	best := slices.MinFunc(within, func(a, b int) int {
@@ -157,7 +179,7 @@
 			cmp.Compare(cost(q.Work, all[a], a == preferred), cost(q.Work, all[b], b == preferred)),
 			cmp.Compare(rendezvousScore(key, all[b].Target), rendezvousScore(key, all[a].Target)))
 	})
-	return withCopySource(q, all, left, best)
+	return withCopySource(q, all, left, best, q.permitWait(all, left, best))
 }
 
 // copiesFaster reports whether copying a prompt is faster than prefill.
@@ -166,8 +188,8 @@
 // withCopySource returns the choice of a candidate. If it lacks the shared
 // prompt, the choice names another candidate that has it cached: in the same
 // failure domain if possible, then the least loaded.
-func withCopySource(q Request, all []Candidate, left []int, best int) Chosen {
-	out := Chosen{Index: best, Source: NoSource}
+func withCopySource(q Request, all []Candidate, left []int, best int, maxWait time.Duration) Chosen {
+	out := Chosen{Index: best, Source: NoSource, MaxWait: maxWait}
 	if all[best].Cached || !q.copiesFaster() {
 		return out
 	}
@@ -192,16 +214,29 @@
 // preferredEngine returns the candidate with the highest rendezvous score for a
 // prompt, or -1 if some candidate is known to have it cached. The order is the
 // same at all routers, so those with an empty cache index choose the same
-// engine.
+// engine: one that names no limit, if there is any.
 func preferredEngine(key uint64, all []Candidate, left []int) int {
 	if slices.ContainsFunc(left, func(i int) bool { return all[i].Cached }) {
 		return -1
 	}
 	return slices.MaxFunc(left, func(a, b int) int {
-		return cmp.Compare(rendezvousScore(key, all[a].Target), rendezvousScore(key, all[b].Target))
+		return cmp.Or(
+			compareBool(all[b].Limited, all[a].Limited),
+			cmp.Compare(rendezvousScore(key, all[a].Target), rendezvousScore(key, all[b].Target)))
 	})
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
+
 // cost returns the delay that the work causes for all requests at the target, in
 // milliseconds. A copy counts like a prefill, as it isn't free either.
 func cost(w Work, c Candidate, preferred bool) int {
@@ -209,6 +244,9 @@
 	if !c.Cached && !preferred {
 		ms += prefillWeight * w.ReusableTokens() / prefillRate
 	}
+	if c.Limited {
+		ms += limitCost
+	}
 	return ms
 }
 
@@ -218,10 +256,11 @@
 	best := slices.MinFunc(left, func(a, b int) int {
 		return cmp.Or(
 			cmp.Compare(utilization(all[a]), utilization(all[b])),
+			compareBool(all[a].Limited, all[b].Limited),
 			cmp.Compare(distance(q.Place, all[a]), distance(q.Place, all[b])),
 			cmp.Compare(mix(q.Random^rendezvousScore(0, all[a].Target)), mix(q.Random^rendezvousScore(0, all[b].Target))))
 	})
-	return Chosen{Index: best, Source: NoSource}
+	return Chosen{Index: best, Source: NoSource, MaxWait: q.permitWait(all, left, best)}
 }
 
 // utilization returns the requests per slot. Targets below about a third count
--- a/fitting/choose_test.go
+++ b/fitting/choose_test.go
@@ -97,16 +97,16 @@
 		candidates []Candidate
 		want       Chosen
 	}{
-		"chosen one has it cached":               {fast, []Candidate{at("a", 1, true), at("a", 2, false)}, Chosen{0, NoSource}},
-		"cached nowhere":                         {fast, []Candidate{at("a", 1, false)}, Chosen{0, NoSource}},
-		"cached at a target over the load bound": {fast, []Candidate{at("a", 30, true), at("a", 0, false)}, Chosen{1, 0}},
-		"engines can't copy":                     {0, []Candidate{at("a", 30, true), at("a", 0, false)}, Chosen{1, NoSource}},
-		"prefill is faster":                      {slow, []Candidate{at("a", 30, true), at("a", 0, false)}, Chosen{1, NoSource}},
+		"chosen one has it cached":               {fast, []Candidate{at("a", 1, true), at("a", 2, false)}, Chosen{Index: 0, Source: NoSource}},
+		"cached nowhere":                         {fast, []Candidate{at("a", 1, false)}, Chosen{Index: 0, Source: NoSource}},
+		"cached at a target over the load bound": {fast, []Candidate{at("a", 30, true), at("a", 0, false)}, Chosen{Index: 1, Source: 0}},
+		"engines can't copy":                     {0, []Candidate{at("a", 30, true), at("a", 0, false)}, Chosen{Index: 1, Source: NoSource}},
+		"prefill is faster":                      {slow, []Candidate{at("a", 30, true), at("a", 0, false)}, Chosen{Index: 1, Source: NoSource}},
 		"source in the same place": {
-			fast, []Candidate{at("a", 30, true), at("b", 31, true), at("b", 0, false), at("c", 1, false), at("c", 1, false)}, Chosen{2, 1},
+			fast, []Candidate{at("a", 30, true), at("b", 31, true), at("b", 0, false), at("c", 1, false), at("c", 1, false)}, Chosen{Index: 2, Source: 1},
 		},
 		"less loaded of two sources in the same place": {
-			fast, []Candidate{at("b", 32, true), at("b", 31, true), at("b", 0, false), at("c", 1, false), at("c", 1, false)}, Chosen{2, 1},
+			fast, []Candidate{at("b", 32, true), at("b", 31, true), at("b", 0, false), at("c", 1, false), at("c", 1, false)}, Chosen{Index: 2, Source: 1},
 		},
 	}
 	for name, tt := range tests {
