--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -112,7 +112,7 @@
 	left := eligible(all)
 	if len(left) == 0 {
 		if i, ok := soonestPermit(q, all); ok {
-			return withCopySource(q, all, []int{i}, i, q.maxWait())
+			return withCopySource(q, all, i, q.maxWait())
 		}
 		left = suspects(all)
 	}
@@ -171,7 +171,7 @@
 		least := slices.MinFunc(left, func(a, b int) int {
 			return cmp.Compare(all[a].Load.requests, all[b].Load.requests)
 		})
-		return withCopySource(q, all, left, least, q.permitWait(all, left, least))
+		return withCopySource(q, all, least, q.permitWait(all, left, least))
 	}
 	preferred := preferredEngine(key, all, left)
 	best := slices.MinFunc(within, func(a, b int) int {
@@ -179,7 +179,7 @@
 			cmp.Compare(cost(q.Work, all[a], a == preferred), cost(q.Work, all[b], b == preferred)),
 			cmp.Compare(rendezvousScore(key, all[b].Target), rendezvousScore(key, all[a].Target)))
 	})
-	return withCopySource(q, all, left, best, q.permitWait(all, left, best))
+	return withCopySource(q, all, best, q.permitWait(all, left, best))
 }
 
 // copiesFaster reports whether copying a prompt is faster than prefill.
@@ -187,15 +187,16 @@
 
 // withCopySource returns the choice of a candidate. If it lacks the shared
 // prompt, the choice names another candidate that has it cached: in the same
-// failure domain if possible, then the least loaded.
-func withCopySource(q Request, all []Candidate, left []int, best int, maxWait time.Duration) Chosen {
+// failure domain if possible, then the least loaded. It may be at its limit, as copying
+// is no request to it.
+func withCopySource(q Request, all []Candidate, best int, maxWait time.Duration) Chosen {
 	out := Chosen{Index: best, Source: NoSource, MaxWait: maxWait}
 	if all[best].Cached || !q.copiesFaster() {
 		return out
 	}
 	place := all[best].Target.Place()
-	for _, i := range left {
-		if !all[i].Cached {
+	for i, c := range all {
+		if !c.Cached || c.Suspect || !c.takesRequests() {
 			continue
 		}
 		if out.Source < 0 || compareSources(place, all[i], all[out.Source]) < 0 {
