--- a/cmd/soak/fleet/check.go
+++ b/cmd/soak/fleet/check.go
@@ -79,6 +79,7 @@
 		}
 	}
 	violations = append(violations, h.checkStated(targets)...)
+	violations = append(violations, h.checkLimits(targets)...)
 	return append(violations, h.checkRemoved()...)
 }
 
--- a/cmd/soak/fleet/check_targets.go
+++ b/cmd/soak/fleet/check_targets.go
@@ -34,10 +34,7 @@
 // arrivalsByRouter returns the arrivals of callers' requests at a target by the router
 // that sent them, in order.
 func (h *Harness) arrivalsByRouter(t *platformtest.Target) map[*Router][]platformtest.Arrival {
-	routers := map[string]*Router{}
-	for _, c := range h.CallLog.Calls() {
-		routers[c.ID] = h.routerByName(c.Router)
-	}
+	routers := h.sendersByRequest()
 	out := map[*Router][]platformtest.Arrival{}
 	for _, a := range t.Arrivals() {
 		if r := routers[a.ID]; r != nil {
@@ -47,6 +44,15 @@
 	return out
 }
 
+// sendersByRequest returns the router that each request was sent to.
+func (h *Harness) sendersByRequest() map[string]*Router {
+	routers := map[string]*Router{}
+	for _, c := range h.CallLog.Calls() {
+		routers[c.ID] = h.routerByName(c.Router)
+	}
+	return routers
+}
+
 func (h *Harness) routerByName(name string) *Router {
 	for _, r := range h.Routers {
 		if r.Name == name {
--- a/cmd/soak/fleet/run.go
+++ b/cmd/soak/fleet/run.go
@@ -18,6 +18,8 @@
 	// restoreStream is the stream of random numbers of RestoreStore; those of callers
 	// are lower.
 	restoreStream = 1 << 20
+	// limitStream is that of LimitTargets.
+	limitStream = 1<<20 + 1
 )
 
 // Report is the result of a run.
@@ -51,6 +53,7 @@
 	var reconfigureErr error
 	others.Go(func() { probeViolations = h.ProbeVersions(stop) })
 	others.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
+	others.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
 	others.Go(func() { reconfigureErr = h.Reconfigure(rand.New(rand.NewPCG(seed, 1)), end) })
 	h.InjectFaults(rand.New(rand.NewPCG(seed, 0)), end)
 	h.AwaitQuiet(quietPeriod)
