--- a/cmd/router/gateway/defects_test.go
+++ b/cmd/router/gateway/defects_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -63,3 +64,62 @@
 	require.LessOrEqual(t, deadly, maxCrashes)
 	require.Equal(t, requests, sound)
 }
+
+// TestRequestCrashesTargets guards against a request that crashes what runs it taking down
+// one target after the other each time it comes again, at any router, while other requests
+// with the same path must be served.
+func TestRequestCrashesTargets(t *testing.T) {
+	const requests = 12
+	chunked := func(r *http.Request) { r.ContentLength = -1 }
+	tests := map[string]struct {
+		service, path, body, soundPath, soundBody string
+		change                                    func(*http.Request)
+	}{
+		"idempotent":       {plainService, "/safe/x", "deadly", "/safe/x", "sound", nil},
+		"non-idempotent":   {plainService, "/once/x", "deadly", "/once/x", "sound", nil},
+		"without a body":   {plainService, "/safe/deadly", "", "/safe/x", "", nil},
+		"query only":       {plainService, "/safe/x?id=1", "", "/safe/x?id=2", "", nil},
+		"stream":           {engineService, "/stream/x", "deadly", "/stream/x", "sound", nil},
+		"unbroken stream":  {engineService, "/broken/x", "deadly", "/broken/x", "sound", nil},
+		"in chunks":        {plainService, "/safe/x", "deadly", "/safe/x", "sound", chunked},
+		"with a long body": {plainService, "/safe/x", strings.Repeat("deadly", 1<<14), "/safe/x", strings.Repeat("sound", 1<<14), nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			store := platformtest.NewStore()
+			t.Cleanup(store.Close)
+			store.PutJSON("op", "config", platformtest.RoutingTable(1, []string{testKey}, routes()...))
+			a, b := newTestRouterAt(t, store, "a"), newTestRouterAt(t, store, "b")
+			var ids []string
+			for i := range 2 * requests {
+				ids = append(ids, "p"+strconv.Itoa(i))
+			}
+			targets := a.addTargets(tt.service, ids...)
+			a.waitReady(len(targets))
+			b.waitReady(len(targets))
+			require.Eventually(t, func() bool { return len(a.g.peers.all()) == 1 && len(b.g.peers.all()) == 1 }, waitTimeout, pollInterval)
+			for _, target := range targets {
+				target.SetDeadlyRequest(tt.path, tt.body)
+			}
+			change := func(r *http.Request) {
+				if tt.change != nil {
+					tt.change(r)
+				}
+			}
+			crashed := 0
+			for i := range requests {
+				tr := []*testRouter{a, b}[i%2]
+				id := "deadly" + strconv.Itoa(i)
+				w := tr.send(http.MethodPost, tt.path, id, strings.NewReader(tt.body), change)
+				require.NotEqual(t, http.StatusOK, w.status)
+				crashed += countExecutions(id, targets)
+				w = tr.send(http.MethodPost, tt.soundPath, "sound"+strconv.Itoa(i), strings.NewReader(tt.soundBody), change)
+				require.Equal(t, http.StatusOK, w.status)
+				time.Sleep(shareInterval)
+			}
+			require.LessOrEqual(t, crashed, maxCrashes)
+			require.Contains(t, a.logs.String()+b.logs.String(), "content=")
+		})
+	}
+}
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -199,6 +200,9 @@
 
 func (t *transaction) handleNoResponse(ctx context.Context, u *upstream, o noResponse) bool {
 	t.mayHaveRun = true
+	if connectionEnded(o.cause) {
+		t.detail = "content=" + strconv.FormatUint(t.contentKey(), 16)
+	}
 	t.logAttempt("no answer", o.cause)
 	if ctx.Err() == nil {
 		t.recordFailure(u, responseFailureWeight)
