--- a/cmd/router/gateway/defects.go
+++ b/cmd/router/gateway/defects.go
@@ -18,65 +18,81 @@
 // request has not run, and without a Retry-After doesn't invite to send it again.
 const statusDefect = http.StatusServiceUnavailable
 
-// sharedParts returns the keys of the parts of the prompt that requests share.
-func (t *transaction) sharedParts() []defect.PartKey {
-	parts := t.req.Work().SharedParts()
-	if len(parts) == 0 {
-		return nil
+// subjects returns what may crash targets: the parts of the prompt that requests share, and
+// the whole request.
+func (t *transaction) subjects() []defect.Subject {
+	if t.defectSubjects != nil {
+		return t.defectSubjects
 	}
-	keys := make([]defect.PartKey, len(parts))
-	for i, p := range parts {
-		keys[i] = defect.PartKey(fitting.PromptKey(t.req.Work().Model(), p.ID()))
+	for _, p := range t.req.Work().SharedParts() {
+		t.defectSubjects = append(t.defectSubjects, defect.Part(fitting.PromptKey(t.req.Work().Model(), p.ID())))
 	}
-	return keys
+	t.defectSubjects = append(t.defectSubjects, t.wholeRequest())
+	return t.defectSubjects
 }
 
-// rejectDefect returns a rejection if a part of the prompt crashes targets. Callers get
-// no time to retry after, as it won't be served then either.
+// wholeRequest returns the subject that stands for the request whenever it comes again.
+func (t *transaction) wholeRequest() defect.Subject { return defect.Request(t.contentKey()) }
+
+// rejectDefect returns a rejection if the request or a part of its prompt crashes targets.
+// Callers get no time to retry after, as it won't be served then either.
 func (t *transaction) rejectDefect(now time.Time) *rejection {
-	part, blocked := t.g.defects.Blocked(t.parts, now)
+	if t.g.defects.Empty() {
+		return nil
+	}
+	subject, blocked := t.g.defects.Blocked(t.subjects(), now)
 	if !blocked {
 		return nil
 	}
-	crashes, first := t.g.defects.Crashes(part, now)
-	t.detail = "part=" + formatPart(part) + " crashes=" + strconv.Itoa(crashes) + " for=" + now.Sub(first).Round(time.Millisecond).String()
-	return &rejection{status: statusDefect, reason: "a part of the prompt crashes targets"}
+	crashes, first := t.g.defects.Crashes(subject, now)
+	t.detail = describeSubject(subject) + " crashes=" + strconv.Itoa(crashes) + " for=" + now.Sub(first).Round(time.Millisecond).String()
+	return &rejection{status: statusDefect, reason: "the request crashes targets"}
 }
 
-// recordCrash records that the target's connection ended between the head of a stream and
-// its first event. It reports whether the request may be sent to another target.
-func (t *transaction) recordCrash(u *upstream, cause error) (mayResend bool) {
-	if len(t.parts) == 0 || t.responseStarted || !connectionEnded(cause) {
+// recordCrash records that the target closed the connection before any event or body of a
+// response. What is suspect depends on whether the head had come: then the target had begun
+// with this request, otherwise only the request that comes again can be told from others.
+// It reports whether the request may be sent to another target.
+func (t *transaction) recordCrash(u *upstream, headReceived bool, cause error) (mayResend bool) {
+	if t.responseStarted || !connectionEnded(cause) {
 		return true
 	}
+	subjects := t.subjects()
+	if !headReceived {
+		subjects = []defect.Subject{t.wholeRequest()}
+	}
 	now := t.g.clock.Now()
-	t.g.logBlocked(t.g.defects.RecordCrash(t.parts, defect.TargetKey(u.key), now), "own", now)
+	t.g.logBlocked(t.g.defects.RecordCrash(subjects, defect.TargetKey(u.key), t.sentAt, now), "own", now)
 	t.g.peers.announce()
-	if t.g.defects.MayResend(t.parts, now) {
+	if t.g.defects.MayResend(subjects, now) {
 		return true
 	}
-	t.detail = "not sent again: a part of the prompt may crash targets"
+	t.detail = "not sent again, as it may crash targets: " + describeSubject(t.wholeRequest())
 	return false
 }
 
-// recordComplete records a complete response, which clears the parts of the prompt.
+// recordComplete records a complete response, which clears the request and the parts of its
+// prompt.
 func (t *transaction) recordComplete() {
-	unblocked := t.g.defects.RecordComplete(t.parts, t.g.clock.Now())
-	for _, p := range unblocked {
-		t.g.log.Info("a part of prompts was answered; no longer rejected", "part", formatPart(p), "request", t.req.ID())
+	if t.g.defects.Empty() {
+		return
+	}
+	unblocked := t.g.defects.RecordComplete(t.subjects(), t.g.clock.Now())
+	for _, s := range unblocked {
+		t.g.log.Info("what seemed to crash targets was answered; no longer rejected", "subject", describeSubject(s), "request", t.req.ID())
 	}
 	if len(unblocked) > 0 {
 		t.g.peers.announce()
 	}
 }
 
-// logBlocked logs parts that are blocked from now on. source is the peer that reported
+// logBlocked logs subjects that are blocked from now on. source is the peer that reported
 // the last crash, or "own".
-func (g *Gateway) logBlocked(parts []defect.PartKey, source string, now time.Time) {
-	for _, p := range parts {
-		crashes, first := g.defects.Crashes(p, now)
+func (g *Gateway) logBlocked(subjects []defect.Subject, source string, now time.Time) {
+	for _, s := range subjects {
+		crashes, first := g.defects.Crashes(s, now)
 		meter.CountBy("defects_found")
-		g.log.Warn("a part of prompts crashes targets; rejecting requests with it", "part", formatPart(p),
+		g.log.Warn("requests crash targets; rejecting them", "subject", describeSubject(s),
 			"crashes", crashes, "first-ago", now.Sub(first).String(), "source", source)
 	}
 }
@@ -88,19 +104,47 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-func formatPart(p defect.PartKey) string { return strconv.FormatUint(uint64(p), 16) }
+func describeSubject(s defect.Subject) string {
+	switch s := s.(type) {
+	case defect.Part:
+		return "part=" + strconv.FormatUint(uint64(s), 16)
+	case defect.Request:
+		return "content=" + strconv.FormatUint(uint64(s), 16)
+	}
+	return ""
+}
+
+func subjectToProto(s defect.Subject) (key uint64, wholeRequest bool) {
+	switch s := s.(type) {
+	case defect.Part:
+		return uint64(s), false
+	case defect.Request:
+		return uint64(s), true
+	}
+	return 0, false
+}
+
+func subjectFromProto(r *peer.DefectReport) defect.Subject {
+	if r.WholeRequest {
+		return defect.Request(r.Part)
+	}
+	return defect.Part(r.Part)
+}
 
 // defectsToProto returns the reports for a message to peers.
 func defectsToProto(reports []defect.Report) []*peer.DefectReport {
 	out := make([]*peer.DefectReport, 0, len(reports))
 	for _, r := range reports {
-		report := &peer.DefectReport{Part: uint64(r.Part)}
+		key, wholeRequest := subjectToProto(r.Subject)
+		report := &peer.DefectReport{Part: key, WholeRequest: wholeRequest}
 		if r.ClearedAge >= 0 {
 			report.Cleared = true
 			report.ClearedMs = uint32(r.ClearedAge.Milliseconds())
 		}
 		for _, c := range r.Crashes {
-			report.Crashes = append(report.Crashes, &peer.EngineCrash{Target: uint64(c.Target), AgoMs: uint32(c.Age.Milliseconds())})
+			report.Crashes = append(report.Crashes, &peer.EngineCrash{
+				Target: uint64(c.Target), AgoMs: uint32(c.Age.Milliseconds()), SentAgoMs: uint32(c.SentAge.Milliseconds()),
+			})
 		}
 		out = append(out, report)
 	}
@@ -110,19 +154,23 @@
 func defectsFromProto(in []*peer.DefectReport) []defect.Report {
 	out := make([]defect.Report, 0, len(in))
 	for _, r := range in {
-		report := defect.Report{Part: defect.PartKey(r.Part), ClearedAge: -1}
+		report := defect.Report{Subject: subjectFromProto(r), ClearedAge: -1}
 		if r.Cleared {
 			report.ClearedAge = time.Duration(r.ClearedMs) * time.Millisecond
 		}
 		for _, c := range r.Crashes {
-			report.Crashes = append(report.Crashes, defect.Crash{Target: defect.TargetKey(c.Target), Age: time.Duration(c.AgoMs) * time.Millisecond})
+			report.Crashes = append(report.Crashes, defect.Crash{
+				Target: defect.TargetKey(c.Target), Age: time.Duration(c.AgoMs) * time.Millisecond,
+				// Older routers don't send the second one.
+				SentAge: time.Duration(max(c.SentAgoMs, c.AgoMs)) * time.Millisecond,
+			})
 		}
 		out = append(out, report)
 	}
 	return out
 }
 
-// handleDefects adds the evidence of a peer about parts of prompts.
+// handleDefects adds the evidence of a peer.
 func (g *Gateway) handleDefects(from string, reports []*peer.DefectReport) {
 	if len(reports) == 0 {
 		return
--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -42,6 +42,9 @@
 	} else {
 		t.completed = true
 		t.recordSuccess(u)
+		if !o.meta.ImpliesNotRun() {
+			t.recordComplete()
+		}
 	}
 	if t.responseStarted {
 		t.detail = "status " + strconv.Itoa(o.meta.Status())
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -35,7 +35,7 @@
 	mayResend := true
 	if ctx.Err() == nil {
 		t.recordFailure(u, responseFailureWeight)
-		mayResend = t.recordCrash(u, err)
+		mayResend = t.recordCrash(u, true, err)
 	}
 	if mayResend && t.route.Retryable() && t.mayRetry() {
 		return true
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,11 +38,13 @@
 	priority  int
 	service   string
 	body      []byte
-	// parts are the parts of the prompt that requests share.
-	parts    []defect.PartKey
-	start    time.Time
-	deadline time.Time
+	// defectSubjects is nil until subjects is called.
+	defectSubjects []defect.Subject
+	start          time.Time
+	deadline       time.Time
 
+	// sentAt is when the current attempt began.
+	sentAt time.Time
 	// attempts counts the targets that may have received the request.
 	attempts       int
 	failedConnects int
@@ -73,7 +74,6 @@
 func (t *transaction) proxy() {
 	t.tried = map[fitting.Key]bool{}
 	t.lastEventID = t.req.LastEventID()
-	t.parts = t.sharedParts()
 	t.g.retryBudget.RecordRequest(t.service, t.start)
 	ctx, cancel := context.WithDeadline(t.r.Context(), t.deadline)
 	defer cancel()
@@ -107,7 +107,7 @@
 // be tried.
 func (t *transaction) attempt(ctx context.Context, u *upstream) bool {
 	t.tried[u.key] = true
-	sent := t.g.clock.Now()
+	t.sentAt = t.g.clock.Now()
 	t.target = u.target.Incarnation()
 	prefillTokens := t.req.Work().PromptTokens()
 	t.g.loads.Add(u.key, 1, prefillTokens)
@@ -123,17 +123,21 @@
 		onFirstEvent()
 		t.g.loads.Add(u.key, -1, 0)
 		if t.completed {
-			t.g.serviceTimes.Observe(t.service, t.g.clock.Now().Sub(sent))
+			t.g.serviceTimes.Observe(t.service, t.g.clock.Now().Sub(t.sentAt))
 		}
 	}()
 	switch o := t.roundTrip(ctx, u).(type) {
 	case notSent:
 		return t.handleNotSent(u, o)
 	case notRun:
+		if o.status != http.StatusMisdirectedRequest {
+			t.g.defects.RecordAlive(defect.TargetKey(u.key), t.sentAt)
+		}
 		return t.handleNotRun(u, o)
 	case noResponse:
 		return t.handleNoResponse(ctx, u, o)
 	case responded:
+		t.g.defects.RecordAlive(defect.TargetKey(u.key), t.sentAt)
 		return t.handleResponse(ctx, u, o, onFirstEvent)
 	}
 	return false
@@ -200,14 +204,16 @@
 
 func (t *transaction) handleNoResponse(ctx context.Context, u *upstream, o noResponse) bool {
 	t.mayHaveRun = true
-	if connectionEnded(o.cause) {
-		t.detail = "content=" + strconv.FormatUint(t.contentKey(), 16)
-	}
-	t.logAttempt("no answer", o.cause)
+	mayResend := true
 	if ctx.Err() == nil {
 		t.recordFailure(u, responseFailureWeight)
+		mayResend = t.recordCrash(u, false, o.cause)
 	}
-	if t.route.Retryable() && t.mayRetry() {
+	if mayResend && connectionEnded(o.cause) {
+		t.detail = describeSubject(t.wholeRequest())
+	}
+	t.logAttempt("no answer", o.cause)
+	if mayResend && t.route.Retryable() && t.mayRetry() {
 		return true
 	}
 	t.fail(&rejection{status: http.StatusBadGateway, reason: "target gave no answer", cause: o.cause})
--- a/defect/fleet_test.go
+++ b/defect/fleet_test.go
@@ -28,7 +28,7 @@
 
 type request struct {
 	router  int
-	parts   []PartKey
+	parts   []Subject
 	target  TargetKey
 	begins  time.Time
 	ends    time.Time
@@ -52,9 +52,9 @@
 }
 
 const (
-	commonPart = PartKey(1)
-	deadlyPart = PartKey(2)
-	firstTopic = PartKey(100)
+	commonPart = Part(1)
+	deadlyPart = Part(2)
+	firstTopic = Part(100)
 	topics     = 40
 	step       = 20 * time.Millisecond
 	// eventTime is the time from the head of a response to its first event.
@@ -65,7 +65,7 @@
 	maxDelay    = 600 * time.Millisecond
 )
 
-func (f *fleet) isDeadly(parts []PartKey) bool {
+func (f *fleet) isDeadly(parts []Subject) bool {
 	for _, p := range parts {
 		if p == deadlyPart {
 			return true
@@ -114,7 +114,7 @@
 	for _, r := range broken {
 		tracker := f.routers[r.router]
 		if r.justBegun(f.now) {
-			tracker.RecordCrash(r.parts, f.incarnation(target), f.now)
+			tracker.RecordCrash(r.parts, f.incarnation(target), r.begins, f.now)
 		}
 		if r.attempt == 0 && tracker.MayResend(r.parts, f.now) {
 			r.attempt++
@@ -234,8 +234,8 @@
 	f.advance(targets)
 }
 
-func (f *fleet) soundParts() []PartKey {
-	return []PartKey{commonPart, firstTopic + PartKey(f.rnd.IntN(topics))}
+func (f *fleet) soundParts() []Subject {
+	return []Subject{commonPart, firstTopic + Part(f.rnd.IntN(topics))}
 }
 
 // perStep returns how many events happen in this step, given their number in a thousand.
--- a/defect/record.go
+++ b/defect/record.go
@@ -2,13 +2,19 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 )
 
-// record is the evidence about one part.
+// crash is when a target crashed on a request, and when the request had been sent to it.
+type crash struct{ sent, at time.Time }
+
+// record is the evidence about one subject.
 type record struct {
-	// crashes has the time of the last crash of each target.
-	crashes map[TargetKey]time.Time
+	// subject decides how the crashes count.
+	subject Subject
+	// crashes has the last crash of each target.
+	crashes map[TargetKey]crash
 	// clearedAt is when a complete response was seen; the zero time if none was.
 	clearedAt time.Time
 	// changedAt is when the record was last changed by an observation of this router
@@ -16,10 +22,10 @@
 	changedAt time.Time
 }
 
-// covers reports whether every crash that counts for another part is one of this part.
+// covers reports whether every crash that counts for another subject is one of this one.
 func (r *record) covers(other *record, now time.Time) bool {
-	for target, at := range other.crashes {
-		if _, both := r.crashes[target]; !both && now.Sub(at) < evidenceTTL {
+	for target, c := range other.crashes {
+		if _, both := r.crashes[target]; !both && c.counts(now) {
 			return false
 		}
 	}
@@ -33,19 +39,44 @@
 	}
 	r.clearedAt = at
 	r.changedAt = now
-	for target, crashed := range r.crashes {
-		if !crashed.After(at) {
+	for target, c := range r.crashes {
+		if !c.at.After(at) {
 			delete(r.crashes, target)
 		}
 	}
 }
 
+func (c crash) counts(now time.Time) bool { return now.Sub(c.at) < evidenceTTL }
+
 // count returns the number of crashes that still count.
 func (r *record) count(now time.Time) int {
+	var counted []crash
+	for _, c := range r.crashes {
+		if c.counts(now) {
+			counted = append(counted, c)
+		}
+	}
+	if _, whole := r.subject.(Request); !whole {
+		return len(counted)
+	}
+	n := sends(counted)
+	if n >= CrashesToBlock || n > 1 && len(counted) > CrashesToBlock {
+		return len(counted)
+	}
+	return n
+}
+
+// sends returns how often the request came and crashed a target, each time after it had
+// crashed another. Crashes while it was at several targets count once: when these fail
+// together, for whatever reason, so does everything that they have.
+func sends(crashes []crash) int {
+	slices.SortFunc(crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 	n := 0
-	for _, at := range r.crashes {
-		if now.Sub(at) < evidenceTTL {
+	var last time.Time
+	for _, c := range crashes {
+		if n == 0 || c.sent.After(last) {
 			n++
+			last = c.at
 		}
 	}
 	return n
@@ -54,9 +85,9 @@
 func (r *record) dropOldest() {
 	var oldest TargetKey
 	var oldestAt time.Time
-	for target, at := range r.crashes {
-		if oldestAt.IsZero() || at.Before(oldestAt) {
-			oldest, oldestAt = target, at
+	for target, c := range r.crashes {
+		if oldestAt.IsZero() || c.at.Before(oldestAt) {
+			oldest, oldestAt = target, c.at
 		}
 	}
 	delete(r.crashes, oldest)
--- a/defect/report.go
+++ b/defect/report.go
@@ -7,30 +7,32 @@
 )
 
 const (
-	// MaxReports bounds the parts in one message.
+	// MaxReports bounds the subjects in one message.
 	MaxReports = 16
-	// maxReportedCrashes bounds the crashes of one part in a message.
+	// maxReportedCrashes bounds the crashes of one subject in a message.
 	maxReportedCrashes = 16
-	// newsTime is how long a change of the evidence is told to peers. Blocked parts are
+	// newsTime is how long a change of the evidence is told to peers. Blocked subjects are
 	// told for as long as they are blocked, also to routers that start.
 	newsTime = 3 * time.Second
 )
 
-// Report is the evidence of one router about one part.
+// Report is the evidence of one router about one subject.
 type Report struct {
-	Part    PartKey
+	Subject Subject
 	Crashes []Crash
 	// ClearedAge is how long ago a complete response was seen; negative if none was.
 	ClearedAge time.Duration
 }
 
-// Crash is a crash of a target and how long ago it was.
+// Crash is a crash of a target, how long ago it was, and how long ago the request had been
+// sent to it.
 type Crash struct {
-	Target TargetKey
-	Age    time.Duration
+	Target  TargetKey
+	Age     time.Duration
+	SentAge time.Duration
 }
 
-// Reports returns the evidence to tell to peers: what is new, and the blocked parts;
+// Reports returns the evidence to tell to peers: what is new, and the blocked ones;
 // those with the most crashes and then the newest first, MaxReports at most.
 func (t *Tracker) Reports(now time.Time) []Report {
 	if t.known.Load() == 0 {
@@ -38,7 +40,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var told []PartKey
+	var told []Subject
 	for p, r := range t.records {
 		if r.expired(now) {
 			delete(t.records, p)
@@ -49,24 +51,24 @@
 		}
 	}
 	t.known.Store(int64(len(t.records)))
-	slices.SortFunc(told, func(a, b PartKey) int {
-		return cmp.Or(t.records[b].compare(t.records[a], now), cmp.Compare(a, b))
+	slices.SortFunc(told, func(a, b Subject) int {
+		return cmp.Or(t.records[b].compare(t.records[a], now), cmp.Compare(a.key(), b.key()))
 	})
 	out := make([]Report, 0, min(len(told), MaxReports))
 	for _, p := range told[:min(len(told), MaxReports)] {
-		out = append(out, t.records[p].report(p, now))
+		out = append(out, t.records[p].report(now))
 	}
 	return out
 }
 
-func (r *record) report(p PartKey, now time.Time) Report {
-	out := Report{Part: p, ClearedAge: -1}
+func (r *record) report(now time.Time) Report {
+	out := Report{Subject: r.subject, ClearedAge: -1}
 	if !r.clearedAt.IsZero() {
 		out.ClearedAge = now.Sub(r.clearedAt)
 	}
-	for target, at := range r.crashes {
-		if age := now.Sub(at); age < evidenceTTL {
-			out.Crashes = append(out.Crashes, Crash{Target: target, Age: age})
+	for target, c := range r.crashes {
+		if c.counts(now) {
+			out.Crashes = append(out.Crashes, Crash{Target: target, Age: now.Sub(c.at), SentAge: now.Sub(c.sent)})
 		}
 	}
 	slices.SortFunc(out.Crashes, func(a, b Crash) int { return cmp.Compare(a.Age, b.Age) })
@@ -74,37 +76,45 @@
 	return out
 }
 
-// RecordFromPeer adds the reports of a peer. It returns the parts that are blocked from
-// now on. Reports with ages that can't be true are ignored.
-func (t *Tracker) RecordFromPeer(reports []Report, now time.Time) (blocked []PartKey) {
+// RecordFromPeer adds the reports of a peer. It returns the subjects that are blocked
+// from now on. Reports with ages that can't be true are ignored.
+func (t *Tracker) RecordFromPeer(reports []Report, now time.Time) (blocked []Subject) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, report := range reports[:min(len(reports), MaxReports)] {
 		if t.addReport(report, now) {
-			blocked = append(blocked, report.Part)
+			blocked = append(blocked, report.Subject)
 		}
 	}
 	return blocked
 }
 
-// addReport adds one report and reports whether it blocks the part; the caller holds mu.
+// addReport adds one report and reports whether it blocks the subject; the caller holds mu.
 func (t *Tracker) addReport(report Report, now time.Time) (blocks bool) {
-	if r := t.records[report.Part]; r != nil && report.ClearedAge >= 0 && report.ClearedAge < clearTTL {
+	if r := t.records[report.Subject]; r != nil && report.ClearedAge >= 0 && report.ClearedAge < clearTTL {
 		r.clear(now.Add(-report.ClearedAge), now)
 	}
 	for _, c := range report.Crashes[:min(len(report.Crashes), maxReportedCrashes)] {
 		at := now.Add(-c.Age)
-		absurd := c.Age < 0 || c.Age >= evidenceTTL || report.ClearedAge >= 0 && c.Age >= report.ClearedAge
-		if absurd || t.clearedBy(report.Part, at.Add(-maxReportDelay)) {
+		absurd := c.Age < 0 || c.Age >= evidenceTTL || c.SentAge < c.Age || report.ClearedAge >= 0 && c.Age >= report.ClearedAge
+		earliest := at.Add(-maxReportDelay)
+		if absurd || t.clearedBy(report.Subject, earliest) || t.aliveAfter(c.Target, earliest) {
 			continue
 		}
-		blocks = t.addCrash(report.Part, c.Target, at, now) || blocks
+		blocks = t.addCrash(report.Subject, c.Target, crash{sent: now.Add(-c.SentAge), at: at}, now) || blocks
 	}
 	return blocks
 }
 
+// aliveAfter reports whether a target that seemed to crash responded to a request that was
+// sent after a time; the caller holds mu.
+func (t *Tracker) aliveAfter(target TargetKey, at time.Time) bool {
+	known := t.targets[target]
+	return known != nil && known.aliveAt.After(at)
+}
+
 // clearedBy reports whether a complete response was seen after a time; the caller holds mu.
-func (t *Tracker) clearedBy(p PartKey, at time.Time) bool {
+func (t *Tracker) clearedBy(p Subject, at time.Time) bool {
 	r := t.records[p]
 	return r != nil && r.clearedAt.After(at)
 }
--- a/defect/tracker.go
+++ b/defect/tracker.go
@@ -8,68 +8,100 @@
 )
 
 const (
-	// CrashesToBlock is the number of incarnations of targets that must have crashed on a part, with no
-	// complete response between, before requests with it are rejected.
+	// CrashesToBlock is the number of incarnations of targets that must have crashed on a
+	// subject, with no complete response between, before requests with it are rejected.
 	CrashesToBlock = 3
 	// crashesToStopRetries is the number from which a request isn't sent again.
 	crashesToStopRetries = 2
 	// evidenceTTL is how long a crash counts. One request may then find out whether
-	// the part still crashes targets.
+	// the subject still crashes targets.
 	evidenceTTL = 10 * time.Minute
 	// clearTTL is how long a complete response makes older reports of crashes void.
 	clearTTL = time.Minute
-	// maxParts bounds the number of parts with evidence.
-	maxParts = 4096
+	// maxSubjects bounds the number of subjects with evidence, and of targets that crashed.
+	maxSubjects = 4096
 	// evictedFraction is the fraction of them that is dropped to make room.
 	evictedFraction = 4
-	// maxCrashesOfPart bounds the evidence about one part.
-	maxCrashesOfPart = 64
+	// maxCrashes bounds the evidence about one subject.
+	maxCrashes = 64
 	// maxReportDelay is how long a report may be on its way: by so much a crash seems
 	// later than it was.
 	maxReportDelay = time.Second
 )
 
-// PartKey identifies a part of a prompt for a model.
-type PartKey uint64
-
 // TargetKey identifies an incarnation of a target, which crashes once at most. One that
-// breaks off responses without ending is no evidence about a part.
+// breaks off responses and responds to later requests is no evidence.
 type TargetKey uint64
 
-// Tracker holds the evidence about parts. It is safe for concurrent use.
+// Tracker holds the evidence about subjects. It is safe for concurrent use.
 type Tracker struct {
 	// known is the number of records, read without the lock: mostly there are none.
 	known atomic.Int64
 
 	mu      sync.Mutex
-	records map[PartKey]*record
+	records map[Subject]*record
+	// targets has what is known of each target that seemed to crash.
+	targets map[TargetKey]*targetRecord
 }
 
+// targetRecord has when a target seemed to crash last, the zero time if it responded since,
+// and when the last request was sent that it responded to.
+type targetRecord struct{ crashedAt, aliveAt time.Time }
+
 // NewTracker returns a Tracker without evidence.
-func NewTracker() *Tracker { return &Tracker{records: map[PartKey]*record{}} }
+func NewTracker() *Tracker {
+	return &Tracker{records: map[Subject]*record{}, targets: map[TargetKey]*targetRecord{}}
+}
 
-// RecordCrash records that a target crashed as it began to respond to a request with the
-// parts. It returns the parts that are blocked from now on.
-func (t *Tracker) RecordCrash(parts []PartKey, target TargetKey, now time.Time) (blocked []PartKey) {
+// Empty reports whether there is no evidence, without waiting for a lock.
+func (t *Tracker) Empty() bool { return t.known.Load() == 0 }
+
+// RecordCrash records that a target crashed on a request with the subjects, which was sent
+// at a time. It returns the subjects that are blocked from now on.
+func (t *Tracker) RecordCrash(subjects []Subject, target TargetKey, sent, now time.Time) (blocked []Subject) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range parts {
-		if t.addCrash(p, target, now, now) {
-			blocked = append(blocked, p)
+	for _, s := range subjects {
+		if t.addCrash(s, target, crash{sent: sent, at: now}, now) {
+			blocked = append(blocked, s)
 		}
 	}
 	return blocked
 }
 
-// RecordComplete records a complete response to a request with the parts, which clears
+// RecordAlive records that a target responded to a request that was sent at a time: it has
+// not crashed before, whatever connections it closed.
+func (t *Tracker) RecordAlive(target TargetKey, sent time.Time) {
+	if t.Empty() {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := t.targets[target]
+	if known == nil || !sent.After(known.aliveAt) {
+		return
+	}
+	known.aliveAt = sent
+	if !known.crashedAt.Before(sent) || known.crashedAt.IsZero() {
+		return
+	}
+	known.crashedAt = time.Time{}
+	for _, r := range t.records {
+		if c, ok := r.crashes[target]; ok && c.at.Before(sent) {
+			delete(r.crashes, target)
+		}
+	}
+}
+
+// RecordComplete records a complete response to a request with the subjects, which clears
 // them. It returns those that were blocked.
-func (t *Tracker) RecordComplete(parts []PartKey, now time.Time) (unblocked []PartKey) {
-	if t.known.Load() == 0 {
+func (t *Tracker) RecordComplete(subjects []Subject, now time.Time) (unblocked []Subject) {
+	if t.Empty() {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range parts {
+	for _, p := range subjects {
 		r := t.records[p]
 		if r == nil || len(r.crashes) == 0 {
 			continue
@@ -82,38 +114,38 @@
 	return unblocked
 }
 
-// Blocked returns the first part that crashes targets, if there is one. A part all of
-// whose crashes had another such part as well, which is not among these, is not blocked:
+// Blocked returns the first subject that crashes targets, if there is one. One all of
+// whose crashes had another such subject as well, which is not among these, is not blocked:
 // that one may be the cause, and the response to this request tells.
-func (t *Tracker) Blocked(parts []PartKey, now time.Time) (PartKey, bool) {
-	return t.firstWith(parts, CrashesToBlock, now)
+func (t *Tracker) Blocked(subjects []Subject, now time.Time) (Subject, bool) {
+	return t.firstWith(subjects, CrashesToBlock, now)
 }
 
-// MayResend reports whether a request with the parts may be sent again after its target
+// MayResend reports whether a request with the subjects may be sent again after its target
 // crashed.
-func (t *Tracker) MayResend(parts []PartKey, now time.Time) bool {
-	_, found := t.firstWith(parts, crashesToStopRetries, now)
+func (t *Tracker) MayResend(subjects []Subject, now time.Time) bool {
+	_, found := t.firstWith(subjects, crashesToStopRetries, now)
 	return !found
 }
 
-// Crashes returns the number of targets that crashed on a part, and when the first one
+// Crashes returns the number of targets that crashed on a subject, and when the first one
 // that still counts did.
-func (t *Tracker) Crashes(p PartKey, now time.Time) (n int, first time.Time) {
+func (t *Tracker) Crashes(p Subject, now time.Time) (n int, first time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[p]
 	if r == nil {
 		return 0, time.Time{}
 	}
-	for _, at := range r.crashes {
-		if first.IsZero() || at.Before(first) {
-			first = at
+	for _, c := range r.crashes {
+		if first.IsZero() || c.at.Before(first) {
+			first = c.at
 		}
 	}
 	return r.count(now), first
 }
 
-// CountBlocked returns the number of blocked parts.
+// CountBlocked returns the number of blocked subjects.
 func (t *Tracker) CountBlocked(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -126,75 +158,112 @@
 	return n
 }
 
-func (t *Tracker) firstWith(parts []PartKey, crashes int, now time.Time) (PartKey, bool) {
-	if t.known.Load() == 0 {
-		return 0, false
+func (t *Tracker) firstWith(subjects []Subject, crashes int, now time.Time) (Subject, bool) {
+	if t.Empty() {
+		return nil, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, p := range parts {
-		if r := t.records[p]; r != nil && r.count(now) >= crashes && !t.explained(r, parts, now) {
-			return p, true
+	for _, s := range subjects {
+		if r := t.records[s]; r != nil && r.count(now) >= crashes && !t.explained(r, subjects, now) {
+			return s, true
 		}
 	}
-	return 0, false
+	return nil, false
 }
 
-// explained reports whether every crash of a part is one of a blocked part that isn't
-// among the parts of the request; the caller holds mu.
-func (t *Tracker) explained(r *record, parts []PartKey, now time.Time) bool {
+// explained reports whether every crash of a subject is one of a blocked subject that isn't
+// among those of the request; the caller holds mu.
+func (t *Tracker) explained(r *record, subjects []Subject, now time.Time) bool {
 	needed := max(r.count(now), CrashesToBlock)
 	for p, other := range t.records {
-		if other != r && other.count(now) >= needed && !slices.Contains(parts, p) && other.covers(r, now) {
+		if other != r && other.count(now) >= needed && !slices.Contains(subjects, p) && other.covers(r, now) {
 			return true
 		}
 	}
 	return false
 }
 
-// addCrash adds a crash and reports whether it blocks the part; the caller holds mu.
-func (t *Tracker) addCrash(p PartKey, target TargetKey, at, now time.Time) (blocks bool) {
-	r := t.records[p]
+// addCrash adds a crash and reports whether it blocks the subject; the caller holds mu.
+func (t *Tracker) addCrash(s Subject, target TargetKey, c crash, now time.Time) (blocks bool) {
+	if !t.noteCrash(target, c.at, now) {
+		return false
+	}
+	r := t.records[s]
 	if r == nil {
 		t.evict(now)
-		r = &record{crashes: map[TargetKey]time.Time{}}
-		t.records[p] = r
+		r = &record{subject: s, crashes: map[TargetKey]crash{}}
+		t.records[s] = r
 		t.known.Store(int64(len(t.records)))
 	}
 	last, known := r.crashes[target]
-	if !at.After(r.clearedAt) || known && at.Sub(last) <= maxReportDelay {
+	if !c.at.After(r.clearedAt) || known && c.at.Sub(last.at) <= maxReportDelay {
 		return false
 	}
 	before := r.count(now)
-	if !known && len(r.crashes) >= maxCrashesOfPart {
+	if !known && len(r.crashes) >= maxCrashes {
 		r.dropOldest()
 	}
-	r.crashes[target] = at
+	r.crashes[target] = c
 	if !known {
 		r.changedAt = now
 	}
 	return before < CrashesToBlock && r.count(now) >= CrashesToBlock
 }
 
+// noteCrash notes that a target seems to have crashed. It returns false if the target
+// responded later; the caller holds mu.
+func (t *Tracker) noteCrash(target TargetKey, at, now time.Time) bool {
+	known := t.targets[target]
+	if known == nil {
+		t.forgetTargets(now)
+		t.targets[target] = &targetRecord{crashedAt: at}
+		return true
+	}
+	if !at.After(known.aliveAt) {
+		return false
+	}
+	if at.After(known.crashedAt) {
+		known.crashedAt = at
+	}
+	return true
+}
+
+// forgetTargets makes room if there are too many targets: it drops those whose crashes don't
+// count any more, or else all. The caller holds mu.
+func (t *Tracker) forgetTargets(now time.Time) {
+	if len(t.targets) < maxSubjects {
+		return
+	}
+	for target, known := range t.targets {
+		if now.Sub(known.crashedAt) >= evidenceTTL {
+			delete(t.targets, target)
+		}
+	}
+	if len(t.targets) >= maxSubjects {
+		clear(t.targets)
+	}
+}
+
 // evict makes room if there are too many records: it drops the expired ones, or else those
 // with the least and oldest evidence. The caller holds mu.
 func (t *Tracker) evict(now time.Time) {
-	if len(t.records) < maxParts {
+	if len(t.records) < maxSubjects {
 		return
 	}
-	parts := make([]PartKey, 0, len(t.records))
-	for p, r := range t.records {
+	subjects := make([]Subject, 0, len(t.records))
+	for s, r := range t.records {
 		if r.expired(now) {
-			delete(t.records, p)
+			delete(t.records, s)
 			continue
 		}
-		parts = append(parts, p)
+		subjects = append(subjects, s)
 	}
-	if len(parts) < maxParts {
+	if len(subjects) < maxSubjects {
 		return
 	}
-	slices.SortFunc(parts, func(a, b PartKey) int { return t.records[a].compare(t.records[b], now) })
-	for _, p := range parts[:maxParts/evictedFraction] {
-		delete(t.records, p)
+	slices.SortFunc(subjects, func(a, b Subject) int { return t.records[a].compare(t.records[b], now) })
+	for _, s := range subjects[:maxSubjects/evictedFraction] {
+		delete(t.records, s)
 	}
 }
--- a/defect/tracker_test.go
+++ b/defect/tracker_test.go
@@ -13,11 +13,11 @@
 
 // TestPartIsBlockedAfterCrashes checks what counts as evidence about a part.
 func TestPartIsBlockedAfterCrashes(t *testing.T) {
-	const bad, other = PartKey(1), PartKey(2)
-	crash := func(target TargetKey, at time.Duration, parts ...PartKey) func(*Tracker) {
-		return func(tr *Tracker) { tr.RecordCrash(parts, target, after(at)) }
+	const bad, other = Part(1), Part(2)
+	crash := func(target TargetKey, at time.Duration, parts ...Subject) func(*Tracker) {
+		return func(tr *Tracker) { tr.RecordCrash(parts, target, after(at), after(at)) }
 	}
-	complete := func(at time.Duration, parts ...PartKey) func(*Tracker) {
+	complete := func(at time.Duration, parts ...Subject) func(*Tracker) {
 		return func(tr *Tracker) { tr.RecordComplete(parts, after(at)) }
 	}
 	tests := map[string]struct {
@@ -43,10 +43,10 @@
 			for _, e := range tt.events {
 				e(tr)
 			}
-			_, blocked := tr.Blocked([]PartKey{other + 1, bad}, after(tt.at))
+			_, blocked := tr.Blocked([]Subject{other + 1, bad}, after(tt.at))
 			require.Equal(t, tt.blocked, blocked)
-			require.Equal(t, tt.mayResend, tr.MayResend([]PartKey{bad}, after(tt.at)))
-			_, blocked = tr.Blocked([]PartKey{other}, after(tt.at))
+			require.Equal(t, tt.mayResend, tr.MayResend([]Subject{bad}, after(tt.at)))
+			_, blocked = tr.Blocked([]Subject{other}, after(tt.at))
 			require.False(t, blocked)
 		})
 	}
@@ -55,14 +55,14 @@
 // TestReports checks that peers learn the evidence, and that repeated and late messages
 // change nothing.
 func TestReports(t *testing.T) {
-	const part = PartKey(1)
+	const part = Part(1)
 	a, b := NewTracker(), NewTracker()
 	require.Empty(t, a.Reports(start))
-	a.RecordCrash([]PartKey{part}, 1, start)
-	b.RecordCrash([]PartKey{part}, 2, start)
+	a.RecordCrash([]Subject{part}, 1, start, start)
+	b.RecordCrash([]Subject{part}, 2, start, start)
 	require.Empty(t, b.RecordFromPeer(a.Reports(after(time.Second)), after(time.Second)))
-	require.Equal(t, []PartKey{part}, b.RecordCrash([]PartKey{part}, 3, after(time.Second)), "the third target")
-	require.Equal(t, []PartKey{part}, a.RecordFromPeer(b.Reports(after(2*time.Second)), after(2*time.Second)))
+	require.Equal(t, []Subject{part}, b.RecordCrash([]Subject{part}, 3, after(time.Second), after(time.Second)), "the third target")
+	require.Equal(t, []Subject{part}, a.RecordFromPeer(b.Reports(after(2*time.Second)), after(2*time.Second)))
 	for i := range 100 {
 		now := after(time.Duration(i+3) * time.Second)
 		require.Empty(t, a.RecordFromPeer(b.Reports(now), now.Add(200*time.Millisecond)))
@@ -73,43 +73,43 @@
 	require.WithinDuration(t, start, first, time.Second, "the age doesn't shrink with each message")
 
 	starting := NewTracker()
-	require.Equal(t, []PartKey{part}, starting.RecordFromPeer(a.Reports(after(2*time.Minute)), after(2*time.Minute)))
+	require.Equal(t, []Subject{part}, starting.RecordFromPeer(a.Reports(after(2*time.Minute)), after(2*time.Minute)))
 
 	stale := b.Reports(after(3 * time.Minute))
-	require.Equal(t, []PartKey{part}, a.RecordComplete([]PartKey{part}, after(3*time.Minute)))
+	require.Equal(t, []Subject{part}, a.RecordComplete([]Subject{part}, after(3*time.Minute)))
 	require.Empty(t, a.RecordFromPeer(stale, after(3*time.Minute+time.Second)), "older evidence is void")
 	require.Empty(t, b.RecordFromPeer(a.Reports(after(3*time.Minute+time.Second)), after(3*time.Minute+time.Second)))
-	_, blocked := b.Blocked([]PartKey{part}, after(3*time.Minute+time.Second))
+	_, blocked := b.Blocked([]Subject{part}, after(3*time.Minute+time.Second))
 	require.False(t, blocked)
 }
 
 // TestAbsurdReports checks that reports that can't be true or are too many do no harm.
 func TestAbsurdReports(t *testing.T) {
 	tests := map[string]Report{
-		"in the future": {Part: 1, ClearedAge: -1, Crashes: []Crash{{1, -time.Hour}, {2, -time.Hour}, {3, -time.Hour}}},
-		"too old":       {Part: 1, ClearedAge: -1, Crashes: []Crash{{1, time.Hour}, {2, time.Hour}, {3, time.Hour}}},
-		"cleared since": {Part: 1, ClearedAge: 0, Crashes: []Crash{{1, time.Second}, {2, time.Second}, {3, time.Second}}},
+		"in the future": {Subject: Part(1), ClearedAge: -1, Crashes: []Crash{{1, -time.Hour, -time.Hour}, {2, -time.Hour, -time.Hour}, {3, -time.Hour, -time.Hour}}},
+		"too old":       {Subject: Part(1), ClearedAge: -1, Crashes: []Crash{{1, time.Hour, time.Hour}, {2, time.Hour, time.Hour}, {3, time.Hour, time.Hour}}},
+		"cleared since": {Subject: Part(1), ClearedAge: 0, Crashes: []Crash{{1, time.Second, time.Second}, {2, time.Second, time.Second}, {3, time.Second, time.Second}}},
 	}
 	for name, r := range tests {
 		t.Run(name, func(t *testing.T) {
 			tr := NewTracker()
 			require.Empty(t, tr.RecordFromPeer([]Report{r}, start))
-			_, blocked := tr.Blocked([]PartKey{1}, start)
+			_, blocked := tr.Blocked([]Subject{Part(1)}, start)
 			require.False(t, blocked)
 		})
 	}
 	t.Run("many", func(t *testing.T) {
 		tr := NewTracker()
-		for i := range 3 * maxParts {
-			r := Report{Part: PartKey(i + 10), ClearedAge: -1, Crashes: []Crash{{TargetKey(i), 0}}}
+		for i := range 3 * maxSubjects {
+			r := Report{Subject: Part(i + 10), ClearedAge: -1, Crashes: []Crash{{TargetKey(i), 0, 0}}}
 			tr.RecordFromPeer([]Report{r}, after(time.Duration(i)))
 		}
-		require.LessOrEqual(t, len(tr.records), maxParts)
+		require.LessOrEqual(t, len(tr.records), maxSubjects)
 		require.LessOrEqual(t, len(tr.Reports(after(time.Second))), MaxReports)
 		for target := range TargetKey(3) {
-			tr.RecordCrash([]PartKey{1}, target, after(time.Second))
+			tr.RecordCrash([]Subject{Part(1)}, target, after(time.Second), after(time.Second))
 		}
-		_, blocked := tr.Blocked([]PartKey{1}, after(time.Second))
+		_, blocked := tr.Blocked([]Subject{Part(1)}, after(time.Second))
 		require.True(t, blocked, "real evidence has room")
 	})
 }
