--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -157,29 +157,80 @@
 	return left
 }
 
-// chooseEngine selects the engine with the lowest cost: its current load, plus
-// the prefill of the shared prompt unless it is cached.
+// chooseEngine selects an engine with a low cost: its current load, plus the prefill of the
+// shared prompt unless it is cached. While no engine is known to have it cached, all routers
+// choose the same one; otherwise they choose among two random ones.
 func chooseEngine(q Request, key uint64, all []Candidate, left []int) Decision {
-	total := 0
-	for _, i := range left {
-		total += all[i].Load.requests
-	}
-	mean := float64(total) / float64(len(left))
-	bound := min(int(math.Ceil(boundFactor*mean))+boundExtra, q.Slots)
-	within := slices.DeleteFunc(slices.Clone(left), func(i int) bool { return all[i].Load.requests >= bound })
+	within := withinBound(q, all, left)
 	if len(within) == 0 {
 		least := slices.MinFunc(left, func(a, b int) int {
 			return cmp.Compare(all[a].Load.requests, all[b].Load.requests)
 		})
 		return withCopySource(q, all, least, q.permitWait(all, left, least))
 	}
+	best := 0
+	if slices.ContainsFunc(left, func(i int) bool { return all[i].Cached }) {
+		best = chooseNearCache(q, all, left, within)
+	} else {
+		best = choosePreferred(q, key, all, left, within)
+	}
+	return withCopySource(q, all, best, q.permitWait(all, left, best))
+}
+
+// withinBound returns those of the candidates whose load is below a multiple of the mean.
+func withinBound(q Request, all []Candidate, left []int) []int {
+	total := 0
+	for _, i := range left {
+		total += all[i].Load.requests
+	}
+	mean := float64(total) / float64(len(left))
+	bound := min(int(math.Ceil(boundFactor*mean))+boundExtra, q.Slots)
+	return slices.DeleteFunc(slices.Clone(left), func(i int) bool { return all[i].Load.requests >= bound })
+}
+
+// choosePreferred selects an engine for a prompt that none is known to have cached.
+func choosePreferred(q Request, key uint64, all []Candidate, left, within []int) int {
 	preferred := preferredEngine(key, all, left)
-	best := slices.MinFunc(within, func(a, b int) int {
+	return slices.MinFunc(within, func(a, b int) int {
 		return cmp.Or(
 			cmp.Compare(cost(q.Work, all[a], a == preferred), cost(q.Work, all[b], b == preferred)),
 			cmp.Compare(rendezvousScore(key, all[b].Target), rendezvousScore(key, all[a].Target)))
 	})
-	return withCopySource(q, all, best, q.permitWait(all, left, best))
+}
+
+// chooseNearCache selects an engine for a prompt that some have cached: the less costly of
+// two random ones of them, or, if it is over the bound or costs more, of two random others.
+// Loads of peers are some time old; if every router chose the least of them, all would choose
+// the same engine meanwhile. As the two are drawn before the bound is applied, the more
+// engines are over it, the more requests go to others.
+func chooseNearCache(q Request, all []Candidate, left, within []int) int {
+	cached := slices.DeleteFunc(slices.Clone(left), func(i int) bool { return !all[i].Cached })
+	others := slices.DeleteFunc(slices.Clone(within), func(i int) bool { return all[i].Cached })
+	best := lessCostlyOfTwo(q, all, cached)
+	if len(others) == 0 {
+		if slices.Contains(within, best) {
+			return best
+		}
+		return lessCostlyOfTwo(q, all, within)
+	}
+	other := lessCostlyOfTwo(q, all, others)
+	if slices.Contains(within, best) && cost(q.Work, all[best], false) <= cost(q.Work, all[other], false) {
+		return best
+	}
+	return other
+}
+
+// lessCostlyOfTwo returns the less costly of two candidates drawn at random.
+func lessCostlyOfTwo(q Request, all []Candidate, from []int) int {
+	first := int(mix(q.Random) % uint64(len(from)))
+	second := first
+	if len(from) > 1 {
+		second = (first + 1 + int(mix(^q.Random)%uint64(len(from)-1))) % len(from)
+	}
+	if cost(q.Work, all[from[second]], false) < cost(q.Work, all[from[first]], false) {
+		return from[second]
+	}
+	return from[first]
 }
 
 // copiesFaster reports whether copying a prompt is faster than prefill.
@@ -213,13 +264,9 @@
 }
 
 // preferredEngine returns the candidate with the highest rendezvous score for a
-// prompt, or -1 if some candidate is known to have it cached. The order is the
-// same at all routers, so those with an empty cache index choose the same
-// engine: one that names no limit, if there is any.
+// prompt. The order is the same at all routers, so those with an empty cache index
+// choose the same engine: one that names no limit, if there is any.
 func preferredEngine(key uint64, all []Candidate, left []int) int {
-	if slices.ContainsFunc(left, func(i int) bool { return all[i].Cached }) {
-		return -1
-	}
 	return slices.MaxFunc(left, func(a, b int) int {
 		return cmp.Or(
 			compareBool(all[b].Limited, all[a].Limited),
