--- a/defect/request_test.go
+++ b/defect/request_test.go
@@ -68,12 +68,16 @@
 	require.Equal(t, []Subject{bad}, a.RecordFromPeer(b.Reports(after(2*time.Second)), after(2*time.Second)))
 
 	late := b.Reports(after(3 * time.Second))
-	a.RecordAlive(3, after(4*time.Second))
-	_, still := a.Blocked([]Subject{bad}, after(4*time.Second))
-	require.False(t, still)
-	require.Empty(t, a.RecordFromPeer(late, after(4*time.Second)))
-	_, still = a.Blocked([]Subject{bad}, after(4*time.Second))
-	require.False(t, still)
+	a.RecordAlive(3, after(2100*time.Millisecond))
+	require.False(t, blockedAt(a, bad, 3*time.Second))
+	delay := 500 * time.Millisecond
+	require.Empty(t, a.RecordFromPeer(late, after(3*time.Second+delay)), "by so much the crash seems later")
+	require.False(t, blockedAt(a, bad, 4*time.Second))
+}
+
+func blockedAt(tr *Tracker, s Subject, at time.Duration) bool {
+	_, blocked := tr.Blocked([]Subject{s}, after(at))
+	return blocked
 }
 
 // soundRequests is the number of different requests that come again and again.
