--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -162,20 +162,6 @@
 	return out
 }
 
-// permitIssuers returns the peers that were seen within ttl and issue permits.
-func (p *peers) permitIssuers() map[string]netip.AddrPort {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	since := p.clock.Now().Add(-p.ttl())
-	out := make(map[string]netip.AddrPort, len(p.known))
-	for name, r := range p.known {
-		if r.issuesPermits && r.lastSeen.After(since) {
-			out[name] = r.address
-		}
-	}
-	return out
-}
-
 // aliveSince returns the time since which a peer must have sent a share for its
 // loads to count.
 func (p *peers) aliveSince() time.Time {
--- a/defect/report.go
+++ b/defect/report.go
@@ -106,13 +106,6 @@
 	return blocks
 }
 
-// aliveAfter reports whether a target that seemed to crash responded to a request that was
-// sent after a time; the caller holds mu.
-func (t *Tracker) aliveAfter(target TargetKey, at time.Time) bool {
-	known := t.targets[target]
-	return known != nil && known.aliveAt.After(at)
-}
-
 // clearedBy reports whether a complete response was seen after a time; the caller holds mu.
 func (t *Tracker) clearedBy(p Subject, at time.Time) bool {
 	r := t.records[p]
--- /dev/null
+++ b/fitting/choose_engine.go
@@ -0,0 +1,138 @@
+package fitting
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	// boundFactor is the largest multiple of the mean load that a target may
+	// have while another one has less.
+	boundFactor = 1.7
+	// boundExtra is added to the bound, in requests.
+	boundExtra = 2
+	// prefillRate is the assumed prefill rate of an engine, in prompt tokens per
+	// millisecond.
+	prefillRate = 50
+	// prefillWeight is how much more prefill time counts than waiting time, as
+	// prefill delays the streams beside it too.
+	prefillWeight = 10
+	// requestCost is the delay that a request adds to the others at the engine, in
+	// milliseconds.
+	requestCost = 5
+	// limitCost is added for an engine that names a limit, in milliseconds, so that it
+	// is left to the requests whose prompt it has cached.
+	limitCost = 50
+)
+
+// chooseEngine selects an engine with a low cost: its current load, plus the prefill of the
+// shared prompt unless it is cached. While no engine is known to have it cached, all routers
+// choose the same one; otherwise they choose among two random ones.
+func chooseEngine(q Request, key uint64, all []Candidate, left []int) Decision {
+	within := withinBound(q, all, left)
+	if len(within) == 0 {
+		least := slices.MinFunc(left, func(a, b int) int {
+			return cmp.Compare(all[a].Load.requests, all[b].Load.requests)
+		})
+		return withCopySource(q, all, least, q.permitWait(all, left, least))
+	}
+	best := 0
+	if slices.ContainsFunc(left, func(i int) bool { return all[i].Cached }) {
+		best = chooseNearCache(q, all, left, within)
+	} else {
+		best = choosePreferred(q, key, all, left, within)
+	}
+	return withCopySource(q, all, best, q.permitWait(all, left, best))
+}
+
+// withinBound returns those of the candidates whose load is below a multiple of the mean.
+func withinBound(q Request, all []Candidate, left []int) []int {
+	total := 0
+	for _, i := range left {
+		total += all[i].Load.requests
+	}
+	mean := float64(total) / float64(len(left))
+	bound := min(int(math.Ceil(boundFactor*mean))+boundExtra, q.Slots)
+	return slices.DeleteFunc(slices.Clone(left), func(i int) bool { return all[i].Load.requests >= bound })
+}
+
+// choosePreferred selects an engine for a prompt that none is known to have cached.
+func choosePreferred(q Request, key uint64, all []Candidate, left, within []int) int {
+	preferred := preferredEngine(key, all, left)
+	return slices.MinFunc(within, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(cost(q.Work, all[a], a == preferred), cost(q.Work, all[b], b == preferred)),
+			cmp.Compare(rendezvousScore(key, all[b].Target), rendezvousScore(key, all[a].Target)))
+	})
+}
+
+// chooseNearCache selects an engine for a prompt that some have cached: the less costly of
+// two random ones of them, or, if it is over the bound or costs more, of two random others.
+// Loads of peers are some time old; if every router chose the least of them, all would choose
+// the same engine meanwhile. As the two are drawn before the bound is applied, the more
+// engines are over it, the more requests go to others.
+func chooseNearCache(q Request, all []Candidate, left, within []int) int {
+	cached := slices.DeleteFunc(slices.Clone(left), func(i int) bool { return !all[i].Cached })
+	others := slices.DeleteFunc(slices.Clone(within), func(i int) bool { return all[i].Cached })
+	best := lessCostlyOfTwo(q, all, cached)
+	if len(others) == 0 {
+		if slices.Contains(within, best) {
+			return best
+		}
+		return lessCostlyOfTwo(q, all, within)
+	}
+	other := lessCostlyOfTwo(q, all, others)
+	if slices.Contains(within, best) && cost(q.Work, all[best], false) <= cost(q.Work, all[other], false) {
+		return best
+	}
+	return other
+}
+
+// lessCostlyOfTwo returns the less costly of two candidates drawn at random.
+func lessCostlyOfTwo(q Request, all []Candidate, from []int) int {
+	first := int(mix(q.Random) % uint64(len(from)))
+	second := first
+	if len(from) > 1 {
+		second = (first + 1 + int(mix(^q.Random)%uint64(len(from)-1))) % len(from)
+	}
+	if cost(q.Work, all[from[second]], false) < cost(q.Work, all[from[first]], false) {
+		return from[second]
+	}
+	return from[first]
+}
+
+// preferredEngine returns the candidate with the highest rendezvous score for a
+// prompt. The order is the same at all routers, so those with an empty cache index
+// choose the same engine: one that names no limit, if there is any.
+func preferredEngine(key uint64, all []Candidate, left []int) int {
+	return slices.MaxFunc(left, func(a, b int) int {
+		return cmp.Or(
+			compareBool(all[b].Limited, all[a].Limited),
+			cmp.Compare(rendezvousScore(key, all[a].Target), rendezvousScore(key, all[b].Target)))
+	})
+}
+
+// cost returns the delay that the work causes for all requests at the target, in
+// milliseconds. A copy counts like a prefill, as it isn't free either.
+func cost(w Work, c Candidate, preferred bool) int {
+	ms := c.Load.prefillTokens/prefillRate + c.Load.requests*requestCost
+	if !c.Cached && !preferred {
+		ms += prefillWeight * w.ReusableTokens() / prefillRate
+	}
+	if c.Limited {
+		ms += limitCost
+	}
+	return ms
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
