--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -24,6 +24,12 @@
 	// limitCost is added for an engine that names a limit, in milliseconds, so that it
 	// is left to the requests whose prompt it has cached.
 	limitCost = 50
+	// overloadDraws is the number of engines of which the least loaded one is chosen when
+	// all are over the bound: many, as most of them have long queues, but not all, so that
+	// routers with the same old loads choose different ones.
+	overloadDraws = 12
+	// drawStep separates the numbers that are drawn for one request (splitmix64).
+	drawStep = 0x9e3779b97f4a7c15
 )
 
 // chooseEngine selects an engine with a low cost: its current load, plus the prefill of the
@@ -32,9 +38,7 @@
 func chooseEngine(q Request, key uint64, all []Candidate, left []int) Decision {
 	within := withinBound(q, all, left)
 	if len(within) == 0 {
-		least := slices.MinFunc(left, func(a, b int) int {
-			return cmp.Compare(all[a].Load.requests, all[b].Load.requests)
-		})
+		least := leastLoadedOfSome(q, all, left)
 		return withCopySource(q, all, least, q.permitWait(all, left, least))
 	}
 	best := 0
@@ -46,6 +50,18 @@
 	return withCopySource(q, all, best, q.permitWait(all, left, best))
 }
 
+// leastLoadedOfSome returns the candidate with the fewest requests among some drawn at random.
+func leastLoadedOfSome(q Request, all []Candidate, from []int) int {
+	best := from[0]
+	for n := range overloadDraws {
+		i := from[mix(q.Random+uint64(n)*drawStep)%uint64(len(from))]
+		if n == 0 || all[i].Load.requests < all[best].Load.requests {
+			best = i
+		}
+	}
+	return best
+}
+
 // withinBound returns those of the candidates whose load is below a multiple of the mean.
 func withinBound(q Request, all []Candidate, left []int) []int {
 	total := 0
--- a/fitting/simulation_test.go
+++ b/fitting/simulation_test.go
@@ -115,9 +115,11 @@
 // engine above twice the mean load plus three.
 func TestSimulatedLargeFleet(t *testing.T) {
 	tests := map[string]enginetest.Pattern{
-		"steady":     {},
-		"surge":      {SurgeFactor: 3},
-		"hot prompt": {HotPromptShare: 0.3},
+		"steady":                     {},
+		"surge":                      {SurgeFactor: 3},
+		"hot prompt":                 {HotPromptShare: 0.3},
+		"overload":                   {SurgeFactor: 6},
+		"far too much, a hot prompt": {SurgeFactor: 6, HotPromptShare: 0.2},
 	}
 	for name, p := range tests {
 		t.Run(name, func(t *testing.T) {
