--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -15,7 +15,7 @@
 )
 
 // maxDatagram is the largest datagram that is read, in bytes.
-const maxDatagram = 8 << 10
+const maxDatagram = 16 << 10
 
 // listenPeers opens the UDP socket for datagrams from peers.
 func (g *Gateway) listenPeers(ctx context.Context) error {
--- /dev/null
+++ b/cmd/router/gateway/share_test.go
@@ -0,0 +1,36 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"vanillalug.example/defect"
+	"vanillalug.example/fitting"
+	"vanillalug.example/quota"
+)
+
+// TestShareFitsDatagram checks that a peer can read the largest share of a router with
+// many requests in flight: one that is cut off can't be decoded at all.
+func TestShareFitsDatagram(t *testing.T) {
+	const targetsInUse = 170 // of a router that carries 22.7 requests a second, docs/CAPACITY.md
+	tr := newTestRouter(t)
+	now := tr.g.clock.Now()
+	for i := range uint64(targetsInUse) {
+		tr.g.loads.Add(fitting.Key(hashOf(name("t", int(i)))), 1, 10000)
+		tr.g.limits.Observe(quota.TargetKey(hashOf(name("t", int(i)))), quota.NewLimit(1.25), now)
+		tr.g.peers.queuePlacement(fitting.Placement{Prompt: hashOf(name("p", int(i))), Target: fitting.Key(hashOf(name("t", int(i))))}, now)
+	}
+	for i := range 2 * defect.MaxReports {
+		for target := range 20 {
+			subject := []defect.Subject{defect.Request(hashOf(name("r", i)))}
+			tr.g.defects.RecordCrash(subject, defect.TargetKey(hashOf(name("t", target))), now.Add(-time.Minute), now.Add(time.Duration(target)*time.Millisecond))
+		}
+	}
+	message, err := proto.Marshal(tr.g.buildShare(tr.g.loads.Own(), now.Add(time.Second)))
+	require.NoError(t, err)
+	require.Less(t, len(message), maxDatagram)
+	require.Greater(t, len(message), maxDatagram/2, "the share has all of its kinds of content")
+}
