What a target told a router outlasts a gap in its registry entry

Cause: the pause, the passive health check and the time from which a permit is worth asking for stood in the upstream, which is made anew as an entry lapses and comes back (an outage or restore of the store). The limit that a target names was forgotten in the same gap, by the next run of maintain. Ruled out: the view; it treats the incarnation as the same one.

--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -65,6 +65,8 @@
 	retryBudget *allowance.WindowBudget
 	// limits has the requests a second that targets take from all routers together.
 	limits *quota.Table
+	// targetStates is what this router learned from the targets.
+	targetStates *targetStates
 	// permits has those that this router issues for all routers.
 	permits *quota.Issuer
 	// idleTimeouts are estimates of how long connections to targets may be idle.
@@ -151,6 +153,7 @@
 		defects:          defect.NewTracker(),
 		failing:          map[string]bool{},
 		retryBudget:      allowance.NewWindowBudget(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
+		targetStates:     newTargetStates(),
 		limits:           quota.NewTable(),
 		permits:          quota.NewIssuer(),
 		streams:          edition.NewRecords(),
--- a/cmd/router/gateway/permits.go
+++ b/cmd/router/gateway/permits.go
@@ -205,13 +205,10 @@
 	}, nil
 }
 
-// forgetLimits forgets the limits of targets that are gone, and permits that nobody asks for.
-func (g *Gateway) forgetLimits(now time.Time) {
-	inUse := map[quota.TargetKey]bool{}
-	for _, u := range g.upstreams.Load().byIncarnation {
-		inUse[u.limitKey()] = true
-	}
-	g.limits.Retain(func(target quota.TargetKey) bool { return inUse[target] })
+// forgetLimits forgets the limits of all targets but those that are kept, and permits that
+// nobody asks for.
+func (g *Gateway) forgetLimits(kept map[quota.TargetKey]bool, now time.Time) {
+	g.limits.Retain(func(target quota.TargetKey) bool { return kept[target] })
 	g.permits.Expire(now)
 }
 
--- a/cmd/router/gateway/target_state_test.go
+++ b/cmd/router/gateway/target_state_test.go
@@ -12,6 +12,7 @@
 	"vanillalug.example"
 	"vanillalug.example/crew"
 	"vanillalug.example/platform/platformtest"
+	"vanillalug.example/quota"
 )
 
 // TestTargetStatesThatItLeaves checks that a target gets no request from a router
@@ -204,18 +205,75 @@
 		tr.post("/once/x", "a", "work")
 		return len(targets[0].Arrivals()) == 1
 	}, waitTimeout, pollInterval)
+	tr.lapseAndReturn("p1")
+	for i := range 20 {
+		tr.post("/once/x", "b"+strconv.Itoa(i), "work")
+	}
+	require.Len(t, targets[0].Arrivals(), 1)
+}
+
+// TestLimitOutlastsAnOutageOfTheStore is the same for the limit that a target named.
+func TestLimitOutlastsAnOutageOfTheStore(t *testing.T) {
+	tr := newTestRouter(t)
+	targets := tr.addTargets(plainService, "p1", "p2")
+	tr.waitReady(2)
+	targets[0].SetRateLimit("0.1")
+	require.Eventually(t, func() bool {
+		tr.post("/once/x", "a", "work")
+		return len(targets[0].Arrivals()) == 1
+	}, waitTimeout, pollInterval)
+	tr.lapseAndReturn("p1")
 	u := tr.g.upstreams.Load().byIncarnation["p1/1"]
+	require.InDelta(t, 0.1, tr.g.limits.Limit(u.limitKey()).Rate(), 0.001)
+	for i := range 20 {
+		tr.post("/once/x", "b"+strconv.Itoa(i), "work")
+	}
+	require.LessOrEqual(t, len(targets[0].Arrivals()), 2, "0.1 requests a second and one more")
+}
+
+// TestRestartedTargetHasNoPause checks that what an incarnation asked for is not held
+// against the next one.
+func TestRestartedTargetHasNoPause(t *testing.T) {
+	tr := newTestRouter(t)
+	target := tr.addTargets(plainService, "p1")[0]
+	tr.waitReady(1)
+	target.SetRetryAfter("60")
+	target.Enqueue(platformtest.Shed)
+	require.Equal(t, http.StatusServiceUnavailable, tr.post("/once/x", "a", "work").status)
+	target.SetRetryAfter("")
+	target.StartMillis++
+	tr.store.PutJSON("servers", "p1", target.Entry("ready"))
+	require.Eventually(t, func() bool {
+		return tr.post("/once/x", "b", "work").status == 200
+	}, waitTimeout, pollInterval)
+}
+
+// TestTargetStatesExpire checks that states are kept for targetStateRetention after a target
+// was last usable, and that the one that comes back within that time is the same.
+func TestTargetStatesExpire(t *testing.T) {
+	now := time.Unix(1000, 0)
+	states := newTargetStates()
+	a, b := states.get("a/1", now), states.get("b/1", now)
+	usable := map[string]*upstream{"b/1": {}}
+	require.Len(t, states.expire(usable, now.Add(targetStateRetention)), 2)
+	require.Same(t, a, states.get("a/1", now.Add(time.Second)))
+	kept := states.expire(usable, now.Add(2*targetStateRetention))
+	require.Equal(t, map[quota.TargetKey]bool{b.limitKey(): true}, kept)
+	require.NotSame(t, a, states.get("a/1", now))
+}
+
+// lapseAndReturn makes the entry of a target lapse while the store is away, and come back.
+func (tr *testRouter) lapseAndReturn(id string) {
+	u := tr.g.upstreams.Load().byIncarnation[id+"/1"]
+	usable := len(tr.g.upstreams.Load().byIncarnation)
 	now, revision := tr.g.clock.Now(), tr.g.view.Revision()
 	next := func(n uint64) vanillalug.StoreRevision {
 		return vanillalug.NewStoreRevision(revision.Epoch(), revision.Number()+n)
 	}
 	tr.g.updateView(crew.RegistryLost{At: now})
-	tr.g.updateView(crew.Removed{At: now, ID: "p1", Revision: next(1)})
-	tr.waitReady(1)
+	tr.g.updateView(crew.Removed{At: now, ID: id, Revision: next(1)})
+	tr.waitReady(usable - 1)
+	tr.g.maintain(now)
 	tr.g.updateView(crew.Changed{At: now, Target: u.target, Revision: next(2)})
-	tr.waitReady(2)
-	for i := range 20 {
-		tr.post("/once/x", "b"+strconv.Itoa(i), "work")
-	}
-	require.Len(t, targets[0].Arrivals(), 1)
+	tr.waitReady(usable)
 }
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -137,13 +137,13 @@
 // rebuildUpstreams builds the upstreams of the usable targets and keeps existing
 // ones. The caller holds viewMu.
 func (g *Gateway) rebuildUpstreams() {
-	old := g.upstreams.Load()
+	old, now := g.upstreams.Load(), g.clock.Now()
 	next := &upstreamSet{byService: map[string][]*upstream{}, byIncarnation: map[string]*upstream{}}
 	for service, usable := range g.view.Usable() {
 		for _, t := range usable {
 			u, ok := old.byIncarnation[t.Incarnation()]
 			if !ok || u.target.Address() != t.Address() || u.target.SoftwareVersion() != t.SoftwareVersion() {
-				u = newUpstream(t, g.dialTarget)
+				u = newUpstream(t, g.targetStates.get(t.Incarnation(), now), g.dialTarget)
 			}
 			next.byService[service] = append(next.byService[service], u)
 			next.byIncarnation[t.Incarnation()] = u
@@ -162,8 +162,8 @@
 func (g *Gateway) maintain(now time.Time) {
 	g.updateView(crew.Tick{At: now})
 	g.logFailingTargets(now)
-	g.forgetLimits(now)
 	upstreams := g.upstreams.Load()
+	g.forgetLimits(g.targetStates.expire(upstreams.byIncarnation, now), now)
 	g.detours.Retain(func(service string) bool { return len(upstreams.byService[service]) > 0 })
 	for _, u := range upstreams.byIncarnation {
 		u.pool.CloseExpired(now)
