A target can't state in a relayed response that it was not reached

Cause: the router that relays for a peer passed on every header of the target, also the one by which it tells the peer that the request was not run. The test shows the harm: a non-idempotent request that ran was answered 503, not run.

Change: what is relayed for a peer has no such header of the target's. Ruled out: dropping it at the peer that receives it, which can't tell whose it is.

--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -64,7 +64,7 @@
 // writeResponse sends a buffered response to the caller.
 func (t *transaction) writeResponse(o responded, body []byte) {
 	h := t.w.Header()
-	o.meta.CopyHeaders(h)
+	t.copyHeaders(o)
 	if bodyAllowed(t.req.Method(), o.meta.Status()) {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
@@ -77,7 +77,7 @@
 // part of the body that was read already.
 func (t *transaction) streamBody(o responded, prefix []byte) {
 	h := t.w.Header()
-	o.meta.CopyHeaders(h)
+	t.copyHeaders(o)
 	if o.response.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(o.response.ContentLength, 10))
 	}
@@ -90,6 +90,16 @@
 	t.logEnd(o.meta.Status(), "answered", nil)
 }
 
+// copyHeaders copies the headers of a response for the caller. A peer that relayed the request
+// gets no header from the target that only routers may set.
+func (t *transaction) copyHeaders(o responded) {
+	h := t.w.Header()
+	o.meta.CopyHeaders(h)
+	if t.relayedBy != "" {
+		h.Del(unreachableHeader)
+	}
+}
+
 func bodyAllowed(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
--- a/cmd/router/gateway/relay_test.go
+++ b/cmd/router/gateway/relay_test.go
@@ -75,6 +75,28 @@
 	}
 }
 
+// TestRelayedTargetClaimsUnreachable checks that a target can't state in a relayed response that
+// it was not reached, after which a request that it ran would be sent again.
+func TestRelayedTargetClaimsUnreachable(t *testing.T) {
+	tests := map[string]struct{ path, service string }{
+		"response": {"/once/x", plainService},
+		"stream":   {"/stream/x", engineService},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newPartitionTestFleet(t, 3)
+			f.cut(resetting, 1)
+			f.waitRelaying(t, tt.path, tt.service, 1)
+			for _, target := range f.targets {
+				target.SetExtraHeader(unreachableHeader + ": 1")
+			}
+			require.Equal(t, http.StatusOK, f.routers[0].post(tt.path, "id", "work").status)
+			require.Equal(t, 1, countExecutions("id", f.targets))
+		})
+	}
+}
+
 // TestRequestIsRelayedOnce checks that two routers that reach no target don't relay to each other,
 // that a caller hears soon that its request was not run, and that it is served when a third one
 // reaches the targets.
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -57,7 +57,7 @@
 	}
 	t.responseStarted = true
 	meter.ObserveBy("first_event", t.elapsed(), "workspace", t.workspace, "kind", t.route.Kind().String())
-	o.meta.CopyHeaders(t.w.Header())
+	t.copyHeaders(o)
 	t.w.WriteHeader(o.meta.Status())
 }
 
