Streams go on after a restart of all routers where there is one software version

After a restart of all, no router has known the targets for 30 s, and every stream whose caller names its attempt was rejected.

Change: the best router in rendezvous order keeps the versions of each service in the store, written when they change. A router that needs them, as neither it nor a peer knows enough, reads them once; they count like the answer of a router that has been up for long, so that Decide is unchanged. What another router wrote counts as just seen, so that no router drops what it doesn't know.

Ruled out: going on wherever the registry has one version (a release that ends while the routers are down); a row of each router (195 writes a release); asking the targets (nothing tells which version began a stream).

Not covered: several versions side by side.

--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -75,6 +75,7 @@
 	// of each service.
 	streams          *edition.Records
 	softwareVersions *edition.History
+	storedVersions   storedVersions
 	// detours tells which services this router can't reach.
 	detours *detour.Tracker
 	// relayed counts the requests in flight that peers have relayed.
@@ -181,6 +182,7 @@
 	go g.watchers.table.run(ctx)
 	go g.watchers.registry.run(ctx)
 	go g.keepRegistered(ctx)
+	go g.keepVersionsStored(ctx)
 	go g.catchUp(ctx)
 	go g.bootstrap(ctx)
 	go g.consultPeers(ctx)
--- a/cmd/router/gateway/peers_serving.go
+++ b/cmd/router/gateway/peers_serving.go
@@ -1,5 +1,23 @@
 package gateway
 
+import "vanillalug.example"
+
+// bestRouter returns the router that rendezvous hashing selects for a key, of those that were
+// heard of lately and aren't shutting down, and its address; the address is invalid if it is
+// this router.
+func (g *Gateway) bestRouter(key uint64) (name, address string) {
+	routers := g.peers.serving()
+	names := make([]string, 0, len(routers)+1)
+	for name := range routers {
+		names = append(names, name)
+	}
+	if !g.draining.Load() || len(names) == 0 {
+		names = append(names, g.cfg.Name)
+	}
+	name = vanillalug.Best(key, names)
+	return name, routers[name].address.String()
+}
+
 // serving returns the peers that were seen within ttl and aren't shutting down.
 func (p *peers) serving() map[string]peerRouter {
 	p.mu.Lock()
--- a/cmd/router/gateway/permits.go
+++ b/cmd/router/gateway/permits.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"time"
 
-	"vanillalug.example"
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
@@ -77,16 +76,7 @@
 // permitIssuer returns the router that issues the permits of a target, and its address:
 // the one that rendezvous hashing selects of those that were heard of lately.
 func (g *Gateway) permitIssuer(target quota.TargetKey) (name, address string) {
-	issuers := g.peers.serving()
-	names := make([]string, 0, len(issuers)+1)
-	for name := range issuers {
-		names = append(names, name)
-	}
-	if !g.draining.Load() || len(names) == 0 {
-		names = append(names, g.cfg.Name)
-	}
-	name = vanillalug.Best(uint64(target), names)
-	return name, issuers[name].address.String()
+	return g.bestRouter(uint64(target))
 }
 
 // requestPermit asks for a permit for the request at a target, and returns the router that
--- a/cmd/router/gateway/stream_origin.go
+++ b/cmd/router/gateway/stream_origin.go
@@ -91,7 +91,11 @@
 	if !own.Known {
 		answers = t.g.askHolders(ctx, key, t.service, holders)
 	}
-	switch d := edition.Decide(t.service, own, answers, t.resumedAttempt() != "").(type) {
+	named := t.resumedAttempt() != ""
+	if edition.NeedsStored(own, answers, named) {
+		answers = append(answers, t.g.storedAnswer(ctx, t.service)...)
+	}
+	switch d := edition.Decide(t.service, own, answers, named).(type) {
 	case edition.GoOn:
 		t.logOrigin(d, len(answers))
 		if !t.route.LeadsTo(d.Origin.Service) {
--- a/edition/history.go
+++ b/edition/history.go
@@ -30,20 +30,25 @@
 		h.since = now
 	}
 	for service, list := range versions {
-		seen := h.lastSeen[service]
-		if seen == nil {
-			seen = map[string]time.Time{}
-			h.lastSeen[service] = seen
-		}
 		for _, v := range list {
-			if now.After(seen[v]) {
-				seen[v] = now
-			}
+			h.add(service, v, now)
 		}
 	}
 	h.expire(now)
 }
 
+// add records that a version was seen; the caller holds mu.
+func (h *History) add(service, version string, now time.Time) {
+	seen := h.lastSeen[service]
+	if seen == nil {
+		seen = map[string]time.Time{}
+		h.lastSeen[service] = seen
+	}
+	if now.After(seen[version]) {
+		seen[version] = now
+	}
+}
+
 // expire forgets versions without targets; the caller holds mu.
 func (h *History) expire(now time.Time) {
 	for service, seen := range h.lastSeen {
