--- a/cmd/router/gateway/stored_records_test.go
+++ b/cmd/router/gateway/stored_records_test.go
@@ -15,6 +15,7 @@
 // TestStreamsOfSeveralVersionsGoOnAfterAllRoutersRestarted guards against a fleet whose routers
 // all restarted and that lets no stream go on at first, as their records were lost.
 func TestStreamsOfSeveralVersionsGoOnAfterAllRoutersRestarted(t *testing.T) {
+	t.Parallel()
 	const streams = 8
 	f := newVersionTestFleet(t, 2, 2)
 	for range 3 {
@@ -42,6 +43,7 @@
 // TestRecordsAreStoredOnlyWithSeveralVersions checks that nothing is written to the store for the
 // streams of a service with one version, and that rows that can't be decoded do no harm.
 func TestRecordsAreStoredOnlyWithSeveralVersions(t *testing.T) {
+	t.Parallel()
 	f := newVersionTestFleet(t, 2, 0)
 	f.waitStored(t, `"v1"`)
 	written := f.store.Revision()
@@ -59,6 +61,7 @@
 
 // TestTooManyRecordsToStore checks that one write is bounded, and that the newest records are in it.
 func TestTooManyRecordsToStore(t *testing.T) {
+	t.Parallel()
 	f := newVersionTestFleet(t, 1, 1)
 	tr := f.waitWriter(t)
 	long := strings.Repeat("v", 200)
--- a/cmd/router/gateway/stored_versions_test.go
+++ b/cmd/router/gateway/stored_versions_test.go
@@ -100,6 +100,7 @@
 // fleet and only when something changes, that another router goes on with it, and that nothing
 // is dropped from it that was seen lately.
 func TestOneRouterStoresSoftwareVersions(t *testing.T) {
+	t.Parallel()
 	f := newVersionTestFleet(t, 2, 0)
 	f.waitStored(t, `"v1"`)
 	written := f.store.Revision()
