--- a/cmd/router/gateway/stored_versions_test.go
+++ b/cmd/router/gateway/stored_versions_test.go
@@ -14,30 +14,6 @@
 
 const versionsTable = "software-versions"
 
-// waitStored waits until the store has the versions of the engines.
-func (f *versionTestFleet) waitStored(t *testing.T, versions string) {
-	require.Eventually(t, func() bool {
-		return string(f.store.Value(versionsTable, engineService)) == `{"versions":[`+versions+`]}`
-	}, 2*waitTimeout, pollInterval)
-}
-
-// restartAll replaces all routers at once.
-func (f *versionTestFleet) restartAll(t *testing.T) {
-	for i := range f.routers {
-		f.stop(i)
-	}
-	for i := range f.routers {
-		f.routers[i] = f.newRouter(t)
-	}
-	for _, tr := range f.routers {
-		f.waitReady(t, tr, len(f.old)+len(f.new))
-	}
-}
-
-func (f *versionTestFleet) takeUp(i int, id string) callerResponse {
-	return f.routers[i].send(http.MethodPost, "/broken/x", id, strings.NewReader("work"), resume("lost"))
-}
-
 // TestStreamsGoOnAfterAllRoutersRestarted guards against a fleet whose routers all restarted and
 // that lets no stream go on at first, although its targets have had one software version all
 // the time; and against one that goes on at another version than the one before the restart.
@@ -87,15 +63,6 @@
 	}
 }
 
-// release replaces all targets by ones of another version, at the same addresses.
-func (f *versionTestFleet) release(version string) {
-	for _, target := range f.old {
-		target.StartMillis++
-		target.SoftwareVersion = version
-		f.store.PutJSON("servers", target.ID, target.Entry("ready"))
-	}
-}
-
 // TestOneRouterStoresSoftwareVersions checks that what the store has is written once for the
 // fleet and only when something changes, that another router goes on with it, and that nothing
 // is dropped from it that was seen lately.
--- /dev/null
+++ b/cmd/router/gateway/target_leaving_test.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalug.example/platform/platformtest"
+)
+
+// TestTargetStatesThatItLeaves checks that a target gets no request from a router
+// after it stated in any response that it is leaving, although its entry says that
+// it is ready.
+func TestTargetStatesThatItLeaves(t *testing.T) {
+	tests := map[string]struct {
+		service, path string
+		behaviour     platformtest.Behaviour
+	}{
+		"in a success":                      {plainService, "/once/x", platformtest.Serve},
+		"in a failure":                      {plainService, "/safe/x", platformtest.Fail},
+		"in a rejection":                    {plainService, "/once/x", platformtest.Shed},
+		"in the head of a stream":           {engineService, "/stream/x", platformtest.Serve},
+		"in a stream that breaks off":       {engineService, "/stream/x", platformtest.Truncate},
+		"in a response to another request":  {plainService, "/once/x", platformtest.WrongIDFirst},
+		"in a body that is broken off":      {plainService, "/safe/x", platformtest.Truncate},
+		"in a response without an id":       {plainService, "/once/x", platformtest.Unframed},
+		"in a second response":              {plainService, "/once/x", platformtest.ExtraResponse},
+		"in a response before the body end": {plainService, "/once/x", platformtest.EarlyResponse},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tr := newTestRouter(t)
+			targets := tr.addTargets(tt.service, "p1", "p2")
+			tr.waitReady(2)
+			for _, target := range targets {
+				target.Enqueue(tt.behaviour)
+			}
+			targets[0].SetLeaving(true)
+			for i := range 12 {
+				tr.post(tt.path, "first"+strconv.Itoa(i), "work")
+			}
+			tr.waitReady(1)
+			before := len(targets[0].Arrivals())
+			for i := range 12 {
+				require.Equal(t, 200, tr.post(tt.path, "a"+strconv.Itoa(i), "work").status)
+			}
+			require.Len(t, targets[0].Arrivals(), before)
+			require.Contains(t, tr.logs.String(), `"@message":"target states that it is leaving"`)
+		})
+	}
+}
+
+// TestLeavingStatedInStrayResponse checks that a target is not used any more that
+// stated that it is leaving only in a response to another request.
+func TestLeavingStatedInStrayResponse(t *testing.T) {
+	tr := newTestRouter(t)
+	target := tr.addTargets(plainService, "p1")[0]
+	tr.waitReady(1)
+	target.Enqueue(platformtest.LeavingInStray)
+	require.Equal(t, "done a", tr.post("/once/x", "a", "work").body)
+	tr.waitReady(0)
+}
+
+// TestLeavingAndRestarted checks that the next incarnation of a target that stated that
+// it is leaving is used.
+func TestLeavingAndRestarted(t *testing.T) {
+	tr := newTestRouter(t)
+	target := tr.addTargets(plainService, "p1")[0]
+	tr.waitReady(1)
+	target.SetLeaving(true)
+	require.Equal(t, 200, tr.post("/once/x", "a", "work").status)
+	tr.waitReady(0)
+	require.Equal(t, http.StatusServiceUnavailable, tr.post("/once/x", "b", "work").status, "the only target is leaving")
+	target.SetLeaving(false)
+	target.StartMillis++
+	tr.store.PutJSON("servers", "p1", target.Entry("ready"))
+	tr.waitReady(1)
+	require.Equal(t, 200, tr.post("/once/x", "c", "work").status)
+}
+
+// TestLeavingStatedByAnotherTarget checks that a target whose address another one has
+// taken over is not said to be leaving by that one.
+func TestLeavingStatedByAnotherTarget(t *testing.T) {
+	tr := newTestRouter(t)
+	target := tr.addTargets(plainService, "p1")[0]
+	tr.waitReady(1)
+	target.ID = "other"
+	target.SetLeaving(true)
+	tr.post("/once/x", "a", "work")
+	require.NotContains(t, tr.logs.String(), "target states that it is leaving")
+}
--- /dev/null
+++ b/crew/view_oracle_test.go
@@ -0,0 +1,118 @@
+package crew
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"vanillalug.example/lugtest"
+)
+
+// TestViewAgainstOracle checks that, in any order of events, an incarnation that
+// was once draining takes no new work again, and that the grace period after an
+// outage leaves exactly the ready entries of the registry in use.
+func TestViewAgainstOracle(t *testing.T) {
+	lugtest.Check(t, "300", "40", func(t *rapid.T) {
+		v := NewView()
+		now, revision := start, uint64(0)
+		registry := map[string]Target{}
+		drained := map[string]bool{}
+		startMillis := map[string]int64{"a": 1, "b": 1, "c": 1}
+		outage := false
+		pending := []Event{}
+		handle := func(e Event) {
+			before := usableIncarnations(v)
+			effects := v.Handle(e)
+			if len(effects) == 0 {
+				require.Equal(t, before, usableIncarnations(v), "change without an effect: %T", e)
+			}
+		}
+		send := func(e Event) {
+			if outage {
+				pending = append(pending, e)
+				return
+			}
+			handle(e)
+		}
+		snapshot := func() Snapshot {
+			s := Snapshot{At: now, Revision: rev(revision)}
+			for _, x := range registry {
+				s.Targets = append(s.Targets, x)
+			}
+			return s
+		}
+		id := rapid.SampledFrom([]string{"a", "b", "c"})
+		t.Repeat(map[string]func(*rapid.T){
+			"ready": func(t *rapid.T) {
+				k := id.Draw(t, "id")
+				if x := registry[k]; x.State() == Draining {
+					startMillis[k]++
+				}
+				revision++
+				registry[k] = target(k, startMillis[k], Ready)
+				send(Changed{At: now, Target: registry[k], Revision: rev(revision)})
+			},
+			"drain": func(t *rapid.T) {
+				k := id.Draw(t, "id")
+				if _, ok := registry[k]; !ok {
+					return
+				}
+				revision++
+				registry[k] = target(k, startMillis[k], Draining)
+				send(Changed{At: now, Target: registry[k], Revision: rev(revision)})
+			},
+			"remove": func(t *rapid.T) {
+				k := id.Draw(t, "id")
+				if _, ok := registry[k]; !ok {
+					return
+				}
+				revision++
+				delete(registry, k)
+				startMillis[k]++
+				send(Removed{At: now, ID: k, Revision: rev(revision)})
+			},
+			"lose registry": func(*rapid.T) { outage = true; handle(RegistryLost{At: now}) },
+			"recover": func(t *rapid.T) {
+				outage = false
+				handle(RegistryRecovered{At: now})
+				if rapid.Bool().Draw(t, "history compacted") {
+					handle(snapshot())
+				} else {
+					for _, e := range pending {
+						handle(e)
+					}
+				}
+				pending = nil
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				handle(Tick{At: now})
+			},
+			"": func(t *rapid.T) {
+				for _, x := range v.All() {
+					if x.State() == Draining {
+						drained[x.Incarnation()] = true
+					}
+				}
+				for _, incarnation := range usableIncarnations(v) {
+					require.False(t, drained[incarnation], incarnation)
+				}
+			},
+		})
+		outage = false
+		handle(RegistryRecovered{At: now})
+		for _, e := range pending {
+			handle(e)
+		}
+		handle(Tick{At: now.Add(GracePeriod)})
+		var want []string
+		for _, k := range []string{"a", "b", "c"} {
+			if x, ok := registry[k]; ok && x.State() == Ready {
+				want = append(want, x.Incarnation())
+			}
+		}
+		require.Equal(t, want, usableIncarnations(v))
+	})
+}
