Soak: all routers are killed once in a run; callers go on with streams until a router answers

In a stream of random numbers of its own, so that earlier seeds play as before; the report says how many streams went on.

--- a/cmd/soak/fleet/caller.go
+++ b/cmd/soak/fleet/caller.go
@@ -19,6 +19,9 @@
 	callTimeout  = 2500 * time.Millisecond
 	callInterval = 30 * time.Millisecond
 	errorBackoff = 100 * time.Millisecond
+	// maxGoOnTries is how often a caller tries to go on with a stream at a router that gives
+	// no answer.
+	maxGoOnTries = 30
 )
 
 // Paths are the request paths of the callers.
@@ -75,10 +78,7 @@
 		c := Call{ID: fmt.Sprintf("%s-%d", name, n), Path: Paths[random.IntN(len(Paths))], Router: r.Name}
 		send(client, r.CallerProxy.Address(), &c)
 		l.add(c)
-		if again, ok := c.goesOn(other.Name); ok {
-			send(client, other.CallerProxy.Address(), &again)
-			l.add(again)
-		}
+		l.goOn(client, c, other)
 		time.Sleep(callInterval)
 		if c.Err != nil {
 			time.Sleep(errorBackoff)
@@ -86,6 +86,26 @@
 	}
 }
 
+// goOn goes on with a stream that broke off, if it did, at a router. It tries again while that one
+// doesn't answer, as all may have been killed.
+func (l *CallLog) goOn(client *http.Client, c Call, at *Router) {
+	again, ok := c.goesOn(at.Name)
+	if !ok {
+		return
+	}
+	first := again.ID
+	for n := range maxGoOnTries {
+		again.ID = fmt.Sprintf("%s%d", first, n)
+		send(client, at.CallerProxy.Address(), &again)
+		l.add(again)
+		if again.Status != 0 {
+			return
+		}
+		again.Err = nil
+		time.Sleep(errorBackoff)
+	}
+}
+
 // goesOn returns the call that goes on with a stream that broke off after some events.
 func (c Call) goesOn(router string) (Call, bool) {
 	events := strings.Count(c.Body, "\n\n")
--- /dev/null
+++ b/cmd/soak/fleet/kill_all.go
@@ -0,0 +1,19 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"syscall"
+	"time"
+)
+
+// KillAllRouters kills all routers at once, at some moment before the end time. They start again
+// by themselves.
+func (h *Harness) KillAllRouters(random *rand.Rand, length time.Duration) {
+	time.Sleep(time.Duration(random.Int64N(int64(length))))
+	endFault := h.tracker.Begin()
+	h.record("kill all routers")
+	for _, r := range h.Routers {
+		r.Signal(syscall.SIGKILL)
+	}
+	time.AfterFunc(maxFault, endFault)
+}
--- a/cmd/soak/fleet/run.go
+++ b/cmd/soak/fleet/run.go
@@ -20,15 +20,20 @@
 	restoreStream = 1 << 20
 	// limitStream is that of LimitTargets.
 	limitStream = 1<<20 + 1
+	// killAllStream is that of KillAllRouters.
+	killAllStream = 1<<20 + 2
 )
 
 // Report is the result of a run.
 type Report struct {
-	Seed       uint64
-	Calls      int
-	Served     int
-	Violations []string
-	Events     []string
+	Seed   uint64
+	Calls  int
+	Served int
+	// TakenUp counts the streams that callers wanted to go on with and that a router answered,
+	// WentOn those that did.
+	TakenUp, WentOn int
+	Violations      []string
+	Events          []string
 }
 
 // Run runs one seed on a new fleet, injects faults for the given length of time
@@ -55,6 +60,7 @@
 	others.Go(func() { probeViolations = h.ProbeVersions(stop) })
 	others.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
 	others.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
+	others.Go(func() { h.KillAllRouters(rand.New(rand.NewPCG(seed, killAllStream)), length) })
 	others.Go(func() { reconfigureErr = h.Reconfigure(rand.New(rand.NewPCG(seed, 1)), end) })
 	h.InjectFaults(rand.New(rand.NewPCG(seed, 0)), end)
 	h.AwaitQuiet(quietPeriod)
@@ -71,6 +77,12 @@
 	report.Events = h.Events()
 	for _, c := range h.CallLog.Calls() {
 		report.Calls++
+		if c.Resumes != "" && c.Status != 0 {
+			report.TakenUp++
+		}
+		if c.Resumes != "" && c.Status == http.StatusOK {
+			report.WentOn++
+		}
 		if c.Status == http.StatusOK && c.Err == nil {
 			report.Served++
 		}
--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -76,7 +76,8 @@
 	if err != nil {
 		return false, err
 	}
-	fmt.Printf("seed %d: %d calls, %d complete responses, %d violations\n", seed, report.Calls, report.Served, len(report.Violations))
+	fmt.Printf("seed %d: %d calls, %d complete responses, %d of %d streams went on, %d violations\n",
+		seed, report.Calls, report.Served, report.WentOn, report.TakenUp, len(report.Violations))
 	for _, v := range report.Violations {
 		fmt.Println("   ", v)
 	}
