--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -75,11 +75,13 @@
 	// of each service.
 	streams          *edition.Records
 	softwareVersions *edition.History
-	storedVersions   storedVersions
-	// storeWriter is the router that writes to the store what outlasts a restart of all.
-	storeWriter     atomic.Pointer[storeWriter]
-	backlog         edition.Backlog
+	// storedVersions and recalledRecords are what this router read of them from the store, which
+	// outlasts a restart of all routers.
+	storedVersions  storedVersions
 	recalledRecords recalledRecords
+	// storeWriter is the router that writes them there; backlog waits if it is this one.
+	storeWriter atomic.Pointer[storeWriter]
+	backlog     edition.Backlog
 	// detours tells which services this router can't reach.
 	detours *detour.Tracker
 	// relayed counts the requests in flight that peers have relayed.
