--- a/review/standins/drain.go
+++ b/review/standins/drain.go
@@ -15,6 +15,8 @@
 		drainTime = 2 * time.Second
 		late      = 3500 * time.Millisecond
 		beats     = 3
+		// exitAfterBeat is how long after the late heartbeat the worker exits.
+		exitAfterBeat = 150 * time.Millisecond
 	)
 	e.Store.Put("op", "config", Manifest(1, nil))
 	zones := []string{"z-a", "z-b", "z-c"}
@@ -57,9 +59,9 @@
 	time.Sleep(500 * time.Millisecond)
 	w.StopBeats(true)
 	e.Rec.Add("the entry of %s is removed", w.ID)
-	time.Sleep(8 * time.Second)
+	time.Sleep(late - 600*time.Millisecond + exitAfterBeat)
 	w.Crash("it has left")
-	time.Sleep(time.Second)
+	time.Sleep(5 * time.Second)
 
 	passedOn := map[int]time.Time{}
 	all := traffic.Stop()
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -30,6 +30,10 @@
 	Deadly           func(r *http.Request) bool
 	WriteBeforeCrash func(out http.ResponseWriter, r *http.Request)
 	OnCrash          func()
+	// Brittle is nil, or tells how brittle the worker is now.
+	Brittle func() Brittle
+	// OnFall is called when the worker falls over.
+	OnFall func()
 	// Headers are added to all answers.
 	Headers func() map[string]string
 	// Reject is called before a request is accepted; it may return headers of a 503.
@@ -50,6 +54,22 @@
 	waiting  int
 	slots    chan struct{}
 	beats    bool
+	rejected []time.Time
+}
+
+// Brittle is what a worker says in Server-Brittle, and whether it acts so already: then nothing waits,
+// and it falls over when it turns away more than MaxRejected requests in a second.
+type Brittle struct {
+	MaxRejected int
+	Stated      bool
+	InForce     bool
+}
+
+func (w *Worker) brittle() Brittle {
+	if w.Brittle == nil {
+		return Brittle{}
+	}
+	return w.Brittle()
 }
 
 // NewWorker returns a worker with a free loopback address that isn't started.
@@ -77,7 +97,7 @@
 	w.lifetime++
 	w.state = "ready"
 	w.beats = true
-	w.running, w.waiting = 0, 0
+	w.running, w.waiting, w.rejected = 0, 0, nil
 	w.slots = make(chan struct{}, w.Slots)
 	w.stop = make(chan struct{})
 	w.server = &http.Server{Handler: w.handler(w.lifetime, w.version, w.slots)}
@@ -164,7 +184,7 @@
 func (w *Worker) crashOn(r *http.Request, d time.Duration, onCrash func()) {
 	time.Sleep(5 * time.Millisecond)
 	go func() {
-		if w.CrashFor(d, "crashed by "+r.Header.Get("X-Attempt-Id")) {
+		if w.CrashFor(d, "crashes on "+r.Header.Get("X-Attempt-Id")) {
 			onCrash()
 		}
 	}()
@@ -235,7 +255,16 @@
 				return
 			}
 		}
-		if !w.enter(slots) {
+		brittle := w.brittle()
+		if brittle.Stated {
+			h.Set("Server-Brittle", strconv.Itoa(brittle.MaxRejected))
+		}
+		if !w.enter(brittle.InForce) {
+			w.rec.Add("%s turns %s away", w.ID, id)
+			if n := w.countRejected(); brittle.InForce && n > brittle.MaxRejected {
+				w.crashOn(r, backTime, w.OnFall)
+				panic(http.ErrAbortHandler)
+			}
 			h.Set("X-Not-Executed", "1")
 			out.WriteHeader(http.StatusServiceUnavailable)
 			return
@@ -270,16 +299,31 @@
 	})
 }
 
-func (w *Worker) enter(slots chan struct{}) bool {
+// enter reports whether there is room for a request. If none may wait, it must have a slot at once.
+func (w *Worker) enter(noneWaits bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.waiting >= w.MaxQueue {
+	if w.waiting >= w.MaxQueue || noneWaits && w.running+w.waiting >= w.Slots {
 		return false
 	}
 	w.waiting++
 	return true
 }
 
+// countRejected records that a request was turned away, and returns how many were in the last second.
+func (w *Worker) countRejected() (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.rejected = append(w.rejected, now)
+	for _, at := range w.rejected {
+		if now.Sub(at) < time.Second {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *Worker) leaveQueue() { w.mu.Lock(); w.waiting--; w.mu.Unlock() }
 func (w *Worker) begin()      { w.mu.Lock(); w.waiting--; w.running++; w.mu.Unlock() }
 func (w *Worker) end()        { w.mu.Lock(); w.running--; w.mu.Unlock() }
