--- a/review/standins/poison.go
+++ b/review/standins/poison.go
@@ -124,15 +124,15 @@
 	return chat(id, 8, fmt.Sprintf("%s:800,%x:410,%x:250", deadlyPart, 0x7700+own%6, own))
 }
 
-// part sends requests with a part of a prompt on which engines crash once they have written the
-// first event.
+// part sends requests with a part of a prompt on which engines crash once they have begun to write
+// the answer: in the middle of its second event.
 func part(e *Env) bool {
 	e.Store.Put("op", "config", Manifest(1, nil))
 	c := &crashes{}
 	deadlyEngines(e, 9, e.Trouble, c, func(w http.ResponseWriter, r *http.Request) {
 		last := 0
 		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &last)
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", last+1, last+1)
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: event %d\n\nid: %d\nda", last+1, last+1, last+2)
 		_ = http.NewResponseController(w).Flush()
 	})
 	f := NewFleet(e, Bounds{RetryExtra: 126})
