--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -26,6 +26,8 @@
 	Step time.Duration
 	// Before is called when a request begins to run; it may crash the worker and return false.
 	Before func(w *Worker, r *http.Request, body string) bool
+	// BeatOnce makes the worker write its entry once in a lifetime.
+	BeatOnce bool
 	// Deadly reports whether a request crashes the worker once it begins to write the answer, which
 	// WriteBeforeCrash does; OnCrash is called then.
 	Deadly           func(r *http.Request) bool
@@ -108,7 +110,9 @@
 	go func() { _ = server.Serve(l) }()
 	go func() {
 		for {
-			w.Beat()
+			if !w.BeatOnce || !w.registered() {
+				w.Beat()
+			}
 			select {
 			case <-stop:
 				return
@@ -126,6 +130,12 @@
 	}
 }
 
+func (w *Worker) registered() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sequence > 0
+}
+
 // Beat writes the entry, unless beats are stopped.
 func (w *Worker) Beat() {
 	w.mu.Lock()
