fitting: requests to plain services are drawn by load, no more sent to the least loaded

Cause: loads of peers are 0.3 to 1.1 s old and a request to a plain service takes 15 to 30 ms, so all routers chose the same target until the next report and its queue overflowed. Change: an idle target nearby as before, else one drawn with weights that fall with the load and with this router's own requests.

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -67,6 +67,7 @@
 		keys[i] = u.key
 	}
 	loads := t.g.loads.Loads(keys, t.g.peers.aliveSince())
+	own := t.g.loads.OwnRequests(keys)
 	cached := make([]bool, len(upstreams))
 	if prompt, ok := t.req.Work().PromptKey(); ok {
 		cached = t.g.cacheIndex.Cached(prompt, keys, now)
@@ -75,7 +76,7 @@
 	out := make([]fitting.Candidate, len(upstreams))
 	for i, u := range upstreams {
 		out[i] = fitting.Candidate{
-			Target: u.target, Load: loads[i], Cached: cached[i],
+			Target: u.target, Load: loads[i], OwnRequests: own[i], Cached: cached[i],
 			Suspect: u.suspect(now) || failing[i], Tried: t.tried[u.key], PausedFor: u.pausedFor(now),
 			Limited: t.g.limits.Limit(u.limitKey()).NeedsPermit(),
 		}
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -10,6 +10,8 @@
 type Candidate struct {
 	Target crew.Target
 	Load   Load
+	// OwnRequests is the number of requests of this router at the target, which are part of Load.
+	OwnRequests int
 	// Cached reports that the target probably has the shared prompt in its
 	// cache.
 	Cached bool
@@ -105,7 +107,7 @@
 	if key, ok := q.Work.PromptKey(); ok && q.Slots > 0 {
 		return chooseEngine(q, key, all, left)
 	}
-	return chooseLeastLoaded(q, all, left)
+	return choosePlain(q, all, left)
 }
 
 // takesRequests reports whether the request may be sent to the candidate, as far as the
--- a/fitting/choose_plain.go
+++ b/fitting/choose_plain.go
@@ -1,31 +1,63 @@
 package fitting
 
 import (
-	"cmp"
+	"math"
 	"slices"
 )
 
-// chooseLeastLoaded selects the least loaded target, preferring those in the
-// router's own place.
-func chooseLeastLoaded(q Request, all []Candidate, left []int) Decision {
-	best := slices.MinFunc(left, func(a, b int) int {
-		return cmp.Or(
-			cmp.Compare(utilization(all[a]), utilization(all[b])),
-			compareBool(all[a].Limited, all[b].Limited),
-			cmp.Compare(distance(q.Place, all[a]), distance(q.Place, all[b])),
-			cmp.Compare(mix(q.Random^rendezvousScore(0, all[a].Target)), mix(q.Random^rendezvousScore(0, all[b].Target))))
-	})
+const (
+	// idleUtilization is the number of requests per slot below which a target counts as idle.
+	idleUtilization = 0.34
+	// drawResolution is the number of steps in which a random number is drawn.
+	drawResolution = 1 << 30
+)
+
+// choosePlain selects a target of a plain service: an idle one in the router's own place if there
+// is any, else one drawn at random, with weights that fall with the load. The loads of peers are
+// some time old, and a request to a plain service is often shorter than that: if every router
+// chose the least loaded target, all would choose the same one until the next report, and its
+// queue would overflow beside targets that have free slots.
+func choosePlain(q Request, all []Candidate, left []int) Decision {
+	from := left
+	if near := idleNearby(q, all, left); len(near) > 0 {
+		from = near
+	}
+	best := drawByWeight(q, all, from)
 	return Chosen{Index: best, Source: NoSource, MaxWait: q.permitWait(all, left, best)}
 }
 
-// utilization returns the requests per slot. Targets below about a third count
-// as idle, so that those in the same place are preferred among them.
-func utilization(c Candidate) float64 {
-	f := float64(c.Load.requests) / float64(max(c.Target.Slots(), 1))
-	if f < 0.34 {
-		return 0
+// idleNearby returns the idle candidates in the router's own place at which it has no request.
+func idleNearby(q Request, all []Candidate, left []int) []int {
+	return slices.DeleteFunc(slices.Clone(left), func(i int) bool {
+		c := all[i]
+		return c.Limited || c.OwnRequests > 0 || utilization(c) >= idleUtilization || distance(q.Place, c) > 0
+	})
+}
+
+// drawByWeight draws a candidate at random.
+func drawByWeight(q Request, all []Candidate, from []int) int {
+	total := 0.0
+	for _, i := range from {
+		total += drawWeight(all[i])
+	}
+	x := total * float64(mix(q.Random+drawStep)%drawResolution) / drawResolution
+	for _, i := range from {
+		if x -= drawWeight(all[i]); x < 0 {
+			return i
+		}
 	}
-	return f
+	return from[len(from)-1]
+}
+
+// drawWeight returns the weight of a candidate. This router's own requests, which are known
+// exactly, count more than those of peers.
+func drawWeight(c Candidate) float64 {
+	return 1 / ((idleUtilization + math.Max(utilization(c), 0)) * float64(1+max(c.OwnRequests, 0)))
+}
+
+// utilization returns the requests per slot.
+func utilization(c Candidate) float64 {
+	return float64(c.Load.requests) / float64(max(c.Target.Slots(), 1))
 }
 
 // distance is 0 within the same place and 1 otherwise.
--- a/fitting/load_table.go
+++ b/fitting/load_table.go
@@ -101,6 +101,17 @@
 	return out
 }
 
+// OwnRequests returns the number of this router's own requests at each target.
+func (t *LoadTable) OwnRequests(keys []Key) []int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]int, len(keys))
+	for i, k := range keys {
+		out[i] = t.own[k].requests
+	}
+	return out
+}
+
 // Loads returns the total load of each target. It removes the reports of peers
 // that were received before since.
 func (t *LoadTable) Loads(keys []Key, since time.Time) []Load {
