Cached prompts are copied from engines that are leaving

Cause: an engine that reports that it is draining, or states that it is leaving, drops out of the candidates at once, and with it the only copy of the prompts that it has cached, although it still runs for seconds. Each release and scale-in has its prompts prefilled again elsewhere. Change: such targets stay candidates to copy from until their registry entry is gone; they get no requests. A target that only disappeared, or is unconfirmed, is not copied from.

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -38,15 +38,16 @@
 	if t.origin != nil && len(upstreams) == 0 {
 		return nil, 0, streamRejection("no target of the software version at which the stream began")
 	}
-	candidates := t.candidates(upstreams, now)
+	candidates := append(t.candidates(upstreams, now), t.copySourcesOf(t.service, now)...)
 	req := t.fittingRequest(now)
 	switch decision := fitting.Choose(req, candidates).(type) {
 	case fitting.Chosen:
 		t.choice = describeChoice(candidates, decision.Index)
 		t.copyFrom = ""
 		if decision.Source != fitting.NoSource {
-			t.copyFrom = upstreams[decision.Source].target.Address()
-			t.choice += " source=" + upstreams[decision.Source].target.Incarnation()
+			source := candidates[decision.Source].Target
+			t.copyFrom = source.Address()
+			t.choice += " source=" + source.Incarnation()
 		}
 		return upstreams[decision.Index], decision.MaxWait, nil
 	case fitting.Paused:
--- a/cmd/router/gateway/connections_test.go
+++ b/cmd/router/gateway/connections_test.go
@@ -62,6 +62,36 @@
 	require.Equal(t, name("e", 2-holder)+" "+targets[holder].Address(), serve("b3", 3))
 }
 
+// TestCachedPromptIsCopiedFromLeavingTarget checks that what only an engine that is leaving has cached
+// is copied from it, until its entry is gone. Otherwise each release would have prompts read again.
+func TestCachedPromptIsCopiedFromLeavingTarget(t *testing.T) {
+	tr := newTestRouter(t)
+	targets := tr.addTargets(promptService, "e1")
+	tr.waitReady(1)
+	serve := func(id string, target *platformtest.Target, prompt, ownPart uint64) string {
+		w := tr.send("POST", "/prompt/x", id, strings.NewReader("y"), func(r *http.Request) {
+			platformtest.SetPrompt(r, "m", prompt, 1000, ownPart)
+		})
+		require.Equal(t, 200, w.status)
+		runs := target.Executions()
+		require.NotEmpty(t, runs)
+		require.Equal(t, id, runs[len(runs)-1].ID)
+		return runs[len(runs)-1].CopiedFrom()
+	}
+	leaving := targets[0]
+	serve("b1", leaving, 0xa1, 1)
+	serve("b2", leaving, 0xa2, 2)
+	next := tr.addTargets(promptService, "e2")[0]
+	tr.waitReady(2)
+	tr.store.PutJSON("servers", leaving.ID, leaving.Entry("draining"))
+	tr.waitReady(1)
+	require.Equal(t, leaving.Address(), serve("b3", next, 0xa1, 3))
+	require.Empty(t, serve("b4", next, 0xa1, 4), "it has the prompt cached now")
+	tr.store.Delete("servers", leaving.ID)
+	require.Eventually(t, func() bool { return len((*tr.g.copySources.Load())[promptService]) == 0 }, waitTimeout, pollInterval)
+	require.Empty(t, serve("b5", next, 0xa2, 5))
+}
+
 // TestIdleConnectionsAreDropped checks that after a dropped idle connection was
 // detected, a request that must not be retried gets no connection that was idle
 // for as long.
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -100,6 +100,8 @@
 
 	table     atomic.Pointer[activeTable]
 	upstreams atomic.Pointer[upstreamSet]
+	// copySources has the targets by service that are only copied from.
+	copySources atomic.Pointer[map[string][]copySource]
 
 	viewMu sync.Mutex
 	view   *crew.View
@@ -176,6 +178,7 @@
 		opt(g)
 	}
 	g.upstreams.Store(&upstreamSet{byService: map[string][]*upstream{}, byIncarnation: map[string]*upstream{}})
+	g.copySources.Store(&map[string][]copySource{})
 	g.peers = newPeers(clock)
 	g.SetSeeds(cfg.Seeds)
 	g.watchers = g.newWatchers()
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -104,9 +104,13 @@
 	g.softwareVersions.Observe(g.view.SoftwareVersions(), g.clock.Now())
 	g.observeEpoch(g.view.Revision().Epoch())
 	version := versions{registry: g.view.Revision(), registryDigest: g.view.Digest()}
-	if old := g.registryVersion.Load(); old == nil || *old != version {
+	old := g.registryVersion.Load()
+	if old == nil || *old != version {
 		g.registryVersion.Store(&version)
 	}
+	if old == nil || old.registryDigest != version.registryDigest || len(effects) > 0 {
+		g.rebuildCopySources()
+	}
 }
 
 // presumeBrittle takes targets that have just started for brittle if others of their service are.
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -19,6 +19,9 @@
 	Suspect bool
 	// Tried marks a target that this request was already sent to.
 	Tried bool
+	// SourceOnly marks a target that takes no new requests but still runs, so that others may copy
+	// cached prompts from it.
+	SourceOnly bool
 	// PausedFor is how long the target wants no requests from this router; 0 or
 	// less if it takes them.
 	PausedFor time.Duration
@@ -112,7 +115,12 @@
 
 // takesRequests reports whether the request may be sent to the candidate, as far as the
 // target itself is concerned.
-func (c Candidate) takesRequests() bool { return !c.Tried && c.PausedFor <= 0 }
+func (c Candidate) takesRequests() bool { return !c.SourceOnly && !c.Tried && c.PausedFor <= 0 }
+
+// mayBeCopiedFrom reports whether the chosen target may copy the shared prompt from the candidate.
+func (c Candidate) mayBeCopiedFrom() bool {
+	return c.Cached && !c.Suspect && !c.Tried && (c.SourceOnly || c.takesRequests())
+}
 
 // eligible returns the indexes of the candidates that may be chosen.
 func eligible(all []Candidate) []int {
--- a/fitting/choose_test.go
+++ b/fitting/choose_test.go
@@ -36,6 +36,11 @@
 	return c
 }
 
+func sourceOnly(c Candidate) Candidate {
+	c.SourceOnly = true
+	return c
+}
+
 var long = NewWork("m", []Part{NewPart(1, 512), NewPart(2, 10000), NewPart(3, 1300)}, 11812, 400)
 
 func TestChooseEngine(t *testing.T) {
@@ -95,11 +100,13 @@
 	tests := map[string]struct {
 		rate       int
 		candidates []Candidate
-		want       Chosen
+		want       Decision
 	}{
 		"chosen one has it cached":               {fast, []Candidate{at("a", 1, true), at("a", 2, false)}, Chosen{Index: 0, Source: NoSource}},
 		"cached nowhere":                         {fast, []Candidate{at("a", 1, false)}, Chosen{Index: 0, Source: NoSource}},
 		"cached at a target over the load bound": {fast, []Candidate{at("a", 30, true), at("a", 0, false)}, Chosen{Index: 1, Source: 0}},
+		"cached at a target that is leaving":     {fast, []Candidate{at("a", 3, false), sourceOnly(at("a", 0, true))}, Chosen{Index: 0, Source: 1}},
+		"only a target that is leaving is left":  {fast, []Candidate{sourceOnly(at("a", 0, true))}, NoTarget{}},
 		"engines can't copy":                     {0, []Candidate{at("a", 30, true), at("a", 0, false)}, Chosen{Index: 1, Source: NoSource}},
 		"prefill is faster":                      {slow, []Candidate{at("a", 30, true), at("a", 0, false)}, Chosen{Index: 1, Source: NoSource}},
 		"source in the same place": {
--- a/fitting/copy_source.go
+++ b/fitting/copy_source.go
@@ -10,8 +10,8 @@
 
 // withCopySource returns the choice of a candidate. If it lacks the shared
 // prompt, the choice names another candidate that has it cached: in the same
-// failure domain if possible, then the least loaded. It may be at its limit, as copying
-// is no request to it.
+// failure domain if possible, then the least loaded. It may be at its limit or leaving, as
+// copying is no request to it.
 func withCopySource(q Request, all []Candidate, best int, maxWait time.Duration) Chosen {
 	out := Chosen{Index: best, Source: NoSource, MaxWait: maxWait}
 	if all[best].Cached || !q.copiesFaster() {
@@ -19,7 +19,7 @@
 	}
 	place := all[best].Target.Place()
 	for i, c := range all {
-		if !c.Cached || c.Suspect || !c.takesRequests() {
+		if !c.mayBeCopiedFrom() {
 			continue
 		}
 		if out.Source < 0 || compareSources(place, all[i], all[out.Source]) < 0 {
