evacuation: failure domains that get no requests

An operator takes a failure domain out of use by a row in the store's table op. Package evacuation decides by the latest revision which domains are evacuated; the gateway leaves their targets out of the lists of usable upstreams, and checks a target again after a request waited for a permit or a connection. Datagrams and replies of peers carry the statements. The watcher of the table skips what a peer sent only if the peer also had every evacuation up to there, as rows would be lost otherwise.

--- a/cmd/router/gateway/cached.go
+++ b/cmd/router/gateway/cached.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -65,7 +66,7 @@
 }
 
 func (g *Gateway) queryEngine(ctx context.Context, u *upstream) {
-	if u.pausedFor(g.clock.Now()) > 0 || g.limits.Limit(u.limitKey()).Limited() {
+	if !g.mayReach(u) || u.pausedFor(g.clock.Now()) > 0 || g.limits.Limit(u.limitKey()).Limited() {
 		return
 	}
 	cached, err := g.fetchCachedParts(ctx, u)
@@ -95,6 +96,9 @@
 	}
 	// The response has no request id, so the connection can't be reused.
 	defer conn.Discard()
+	if !g.mayReach(u) {
+		return nil, errors.New("Gateway.fetchCachedParts: the target is evacuated")
+	}
 	if err := conn.SetDeadline(time.Now().Add(queryTimeout)); err != nil {
 		return nil, fmt.Errorf("Gateway.fetchCachedParts: %w", err)
 	}
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -142,6 +142,7 @@
 	found[reply.From] = address
 	g.peers.add(found)
 	g.handleDefects(reply.From, reply.Defects)
+	g.applyPeerEvacuations(reply)
 	g.applyPeerTable(reply, "peer "+address.String())
 	if registryRevision(reply).After(current.registry) {
 		g.updateView(registryUpdate(reply, current.registryDigest, g.clock.Now()))
--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -34,6 +34,9 @@
 	if rejected := t.rejectDefect(now); rejected != nil {
 		return nil, 0, rejected
 	}
+	if rejected := t.rejectEvacuated(); rejected != nil {
+		return nil, 0, rejected
+	}
 	upstreams := t.compatible(t.g.upstreams.Load().byService[t.service])
 	if t.origin != nil && len(upstreams) == 0 {
 		return nil, 0, streamRejection("no target of the software version at which the stream began")
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"vanillalug.example/defect"
 	"vanillalug.example/detour"
 	"vanillalug.example/edition"
+	"vanillalug.example/evacuation"
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
 	"vanillalug.example/plan"
@@ -101,6 +102,9 @@
 	table     atomic.Pointer[activeTable]
 	upstreams atomic.Pointer[upstreamSet]
 
+	// evacuations has the failure domains that get nothing.
+	evacuations evacuations
+
 	viewMu sync.Mutex
 	view   *crew.View
 	// registryVersion is the version of the view, read without the mutex; its
@@ -171,11 +175,12 @@
 		softwareVersions: edition.NewHistory(),
 		detours:          detour.NewTracker(),
 		view:             crew.NewView(),
+		evacuations:      evacuations{state: evacuation.NewState()},
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.upstreams.Store(&upstreamSet{byService: map[string][]*upstream{}, byIncarnation: map[string]*upstream{}})
+	g.upstreams.Store(newUpstreamSet())
 	g.peers = newPeers(clock)
 	g.SetSeeds(cfg.Seeds)
 	g.watchers = g.newWatchers()
@@ -216,9 +221,10 @@
 func (g *Gateway) SetSeeds(seeds []netip.AddrPort) { g.peers.setSeeds(seeds) }
 
 // Ready reports whether the router is ready for new connections: it is not
-// draining and has a routing table and at least one target.
+// draining, knows what is evacuated, and has a routing table and at least one target, which may be
+// in an evacuated failure domain.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.mayServe() && g.table.Load() != nil && len(g.upstreams.Load().byIncarnation) > 0
+	return !g.draining.Load() && g.mayServe() && g.table.Load() != nil && g.upstreams.Load().anyTarget()
 }
 
 // HeaderLimit returns the timeout for reading a caller's header; 0 if there is
--- a/cmd/router/gateway/peer_server.go
+++ b/cmd/router/gateway/peer_server.go
@@ -20,6 +20,7 @@
 		return reply, nil
 	}
 	g.addTable(reply, r)
+	g.addEvacuations(reply)
 	for name, a := range g.peers.all() {
 		reply.Routers = append(reply.Routers, &peer.RouterAddress{Name: name, Address: a.String()})
 	}
--- a/cmd/router/gateway/permits.go
+++ b/cmd/router/gateway/permits.go
@@ -56,7 +56,7 @@
 	}
 	meter.CountBy("permits", "service", t.service, "outcome", "granted")
 	sleep(ctx, permit.Wait)
-	if permit.Wait <= 0 || g.upstreams.Load().byIncarnation[u.target.Incarnation()] == u {
+	if g.mayReach(u) && (permit.Wait <= 0 || g.upstreams.Load().byIncarnation[u.target.Incarnation()] == u) {
 		return true
 	}
 	t.releasePlace()
@@ -124,6 +124,9 @@
 
 // issuePermit issues a permit, with a place if the target is brittle.
 func (g *Gateway) issuePermit(target quota.TargetKey, place quota.PlaceRequest, maxWait time.Duration) (quota.Permit, quota.PlaceID) {
+	if g.isEvacuated(fitting.Key(target)) {
+		return quota.Permit{Wait: noIssuerPause}, 0
+	}
 	now := g.clock.Now()
 	limit := g.limits.Limit(target)
 	id := quota.PlaceID(0)
--- a/cmd/router/gateway/reachability.go
+++ b/cmd/router/gateway/reachability.go
@@ -60,6 +60,9 @@
 }
 
 func (g *Gateway) probeTarget(u *upstream) {
+	if !g.mayReach(u) {
+		return
+	}
 	if err := u.pool.Open(context.Background(), g.clock.Now()); err != nil {
 		g.recordConnectFailure(u, err)
 		return
--- a/cmd/router/gateway/relay.go
+++ b/cmd/router/gateway/relay.go
@@ -44,6 +44,7 @@
 // reached from here or seem not to be. A request that a peer relayed is never relayed again.
 func (t *transaction) relayPeer() (name string, address netip.AddrPort, ok bool) {
 	wanted := t.g.detours.Unreachable(t.service) || t.failedConnects >= connectsBeforeRelay || t.noTargetLeft
+	wanted = wanted && !t.g.upstreams.Load().serviceEvacuated(t.service)
 	if !wanted || t.relayedBy != "" || len(t.relays) >= maxRelays {
 		return "", netip.AddrPort{}, false
 	}
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"vanillalug.example"
+	"vanillalug.example/evacuation"
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
 )
@@ -70,6 +71,7 @@
 		out.Failing = append(out.Failing, uint64(key))
 	}
 	out.Defects = defectsToProto(g.defects.Reports(now))
+	out.Evacuations = g.evacuationNews(now)
 	out.Limits = limitsToProto(g.limits.OwnReports(g.peers.newsTime(), now))
 	for _, p := range g.peers.recentPlacements(now) {
 		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
@@ -106,6 +108,7 @@
 		loads[fitting.Key(l.Target)] = fitting.NewLoad(int(l.Requests), int(l.Unread))
 	}
 	now := g.clock.Now()
+	g.handleEvacuations(evacuation.Report{At: now, Statements: evacuationsFromProto(s.Evacuations)}, "peer "+s.From)
 	g.loads.SetPeer(s.From, loads, now)
 	for _, p := range s.Placements {
 		g.cacheIndex.RecordFromPeer(fitting.Placement{Prompt: p.Prompt, Target: fitting.Key(p.Target)}, now)
--- a/cmd/router/gateway/table_transfer.go
+++ b/cmd/router/gateway/table_transfer.go
@@ -30,10 +30,10 @@
 		return
 	}
 	reply.PlanVersion = active.table.Version()
+	reply.PlanRevision, reply.PlanEpoch = active.revision.Number(), active.revision.Epoch()
 	if active.table.Version() <= r.PlanVersion {
 		return
 	}
-	reply.PlanRevision, reply.PlanEpoch = active.revision.Number(), active.revision.Epoch()
 	if !r.ReadsCompressed {
 		if r.Insist || len(active.raw) < largeTable {
 			reply.Plan = active.raw
@@ -64,7 +64,7 @@
 		return
 	}
 	g.applyTable(&activeTable{raw: raw, compressed: reply.CompressedPlan, revision: planRevision(reply)}, source)
-	if !g.table.Load().includes(planRevision(reply)) {
+	if !g.table.Load().includes(planRevision(reply)) || !g.evacuations.completeAt(planRevision(reply)) {
 		return
 	}
 	g.watchers.table.advance(planRevision(reply))
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -174,6 +174,8 @@
 	switch o := t.roundTrip(ctx, u).(type) {
 	case notSent:
 		return t.handleNotSent(u, o)
+	case evacuatedMeanwhile:
+		return t.handleEvacuated()
 	case notRun:
 		if o.status != http.StatusMisdirectedRequest {
 			t.g.defects.RecordAlive(defect.TargetKey(u.key), t.sentAt)
--- a/cmd/router/gateway/upstream.go
+++ b/cmd/router/gateway/upstream.go
@@ -5,6 +5,7 @@
 
 	"vanillalug.example/cmd/router/channel"
 	"vanillalug.example/crew"
+	"vanillalug.example/fitting"
 )
 
 // upstream is one incarnation of a target with its connection pool and its state.
@@ -25,4 +26,14 @@
 type upstreamSet struct {
 	byService     map[string][]*upstream
 	byIncarnation map[string]*upstream
+	// evacuated are the targets that would be usable if their failure domains were not evacuated.
+	evacuated map[fitting.Key]crew.Target
+}
+
+func newUpstreamSet() *upstreamSet {
+	return &upstreamSet{
+		byService:     map[string][]*upstream{},
+		byIncarnation: map[string]*upstream{},
+		evacuated:     map[fitting.Key]crew.Target{},
+	}
 }
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -160,11 +160,15 @@
 // ones. The caller holds viewMu.
 func (g *Gateway) rebuildUpstreams() {
 	old, now := g.upstreams.Load(), g.clock.Now()
-	next := &upstreamSet{byService: map[string][]*upstream{}, byIncarnation: map[string]*upstream{}}
+	next := newUpstreamSet()
 	for service, usable := range g.view.Usable() {
 		for _, t := range usable {
+			if g.evacuations.has(t.Place()) {
+				next.evacuated[fitting.KeyOf(t.Incarnation())] = t
+				continue
+			}
 			u, ok := old.byIncarnation[t.Incarnation()]
-			if !ok || u.target.Address() != t.Address() || u.target.SoftwareVersion() != t.SoftwareVersion() {
+			if !ok || u.target.Address() != t.Address() || u.target.SoftwareVersion() != t.SoftwareVersion() || u.target.Place() != t.Place() {
 				u = newUpstream(t, g.targetStates.get(t.Incarnation(), now), g.dialTarget)
 			}
 			next.byService[service] = append(next.byService[service], u)
@@ -188,6 +192,7 @@
 	}
 	g.updateView(crew.Tick{At: now})
 	g.logFailingTargets(now)
+	g.maintainEvacuations(now)
 	upstreams := g.upstreams.Load()
 	g.forgetLimits(g.targetStates.expire(upstreams.byIncarnation, now), now)
 	g.detours.Retain(func(service string) bool { return len(upstreams.byService[service]) > 0 })
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -61,7 +61,7 @@
 	table := &watcher{
 		g: g, name: "routing-table", pollTime: tablePollTime,
 		newReader: g.store.ReadRoutingTable, poll: g.store.RoutingTableChanges,
-		onSnapshot: g.applyTableRows, onChanges: g.applyTableRows,
+		onSnapshot: g.applyTableSnapshot, onChanges: g.applyTableChanges,
 	}
 	registry := &watcher{
 		g: g, name: "registry", pollTime: registryPollTime,
