--- a/cmd/router/gateway/store_epoch.go
+++ b/cmd/router/gateway/store_epoch.go
@@ -42,6 +42,7 @@
 	g.consulted.Store(true)
 	meter.CountBy("store_restored")
 	g.log.Warn("the store was restored from an older copy", "epoch", epoch, "known-epoch", known)
+	g.watchers.table.resetBefore(epoch)
 	g.watchers.table.interrupt()
 	g.watchers.registry.interrupt()
 	select {
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -112,10 +112,13 @@
 }
 
 // advance records that all changes up to a revision were received from a peer, or the
-// whole table as of it.
+// whole table as of it. One of an epoch that has ended counts for nothing.
 func (w *watcher) advance(revision vanillalug.StoreRevision) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if revision.Epoch() < w.g.storeEpoch.Load() {
+		return
+	}
 	if revision.After(w.revision) {
 		w.revision = revision
 	}
@@ -133,6 +136,16 @@
 	w.revision = vanillalug.StoreRevision{}
 }
 
+// resetBefore makes the whole table be read next if it was read in an epoch before. A poll would
+// wait although the store has assigned revisions up to the known one again.
+func (w *watcher) resetBefore(epoch uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.revision.Epoch() < epoch {
+		w.revision = vanillalug.StoreRevision{}
+	}
+}
+
 // fresh reports whether the last successful poll is recent.
 func (w *watcher) fresh() bool {
 	w.mu.Lock()
