--- a/cmd/router/gateway/copy_sources.go
+++ b/cmd/router/gateway/copy_sources.go
@@ -20,6 +20,9 @@
 	next := map[string][]copySource{}
 	for service, targets := range g.view.Leaving() {
 		for _, t := range targets {
+			if g.evacuations.has(t.Place()) {
+				continue
+			}
 			next[service] = append(next[service], copySource{target: t, state: g.targetStates.get(t.Incarnation(), now)})
 		}
 	}
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"vanillalug.example/defect"
 	"vanillalug.example/detour"
 	"vanillalug.example/edition"
+	"vanillalug.example/evacuation"
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
 	"vanillalug.example/plan"
@@ -103,6 +104,9 @@
 	// copySources has the targets by service that are only copied from.
 	copySources atomic.Pointer[map[string][]copySource]
 
+	// evacuations has the failure domains that get nothing.
+	evacuations evacuations
+
 	viewMu sync.Mutex
 	view   *crew.View
 	// registryVersion is the version of the view, read without the mutex; its
@@ -173,12 +177,13 @@
 		softwareVersions: edition.NewHistory(),
 		detours:          detour.NewTracker(),
 		view:             crew.NewView(),
+		evacuations:      evacuations{state: evacuation.NewState()},
 	}
 	for _, opt := range opts {
 		opt(g)
 	}
-	g.upstreams.Store(&upstreamSet{byService: map[string][]*upstream{}, byIncarnation: map[string]*upstream{}})
 	g.copySources.Store(&map[string][]copySource{})
+	g.upstreams.Store(newUpstreamSet())
 	g.peers = newPeers(clock)
 	g.SetSeeds(cfg.Seeds)
 	g.watchers = g.newWatchers()
@@ -219,9 +224,10 @@
 func (g *Gateway) SetSeeds(seeds []netip.AddrPort) { g.peers.setSeeds(seeds) }
 
 // Ready reports whether the router is ready for new connections: it is not
-// draining and has a routing table and at least one target.
+// draining, knows what is evacuated, and has a routing table and at least one target, which may be
+// in an evacuated failure domain.
 func (g *Gateway) Ready() bool {
-	return !g.draining.Load() && g.mayServe() && g.table.Load() != nil && len(g.upstreams.Load().byIncarnation) > 0
+	return !g.draining.Load() && g.mayServe() && g.table.Load() != nil && g.upstreams.Load().anyTarget()
 }
 
 // HeaderLimit returns the timeout for reading a caller's header; 0 if there is
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -70,6 +70,7 @@
 		out.Failing = append(out.Failing, uint64(key))
 	}
 	out.Defects = defectsToProto(g.defects.Reports(now))
+	out.Evacuations = g.evacuationNews(now)
 	out.Limits = limitsToProto(g.limits.OwnReports(g.peers.newsTime(), now))
 	for _, p := range g.peers.recentPlacements(now) {
 		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
@@ -106,6 +107,7 @@
 		loads[fitting.Key(l.Target)] = fitting.NewLoad(int(l.Requests), int(l.Unread))
 	}
 	now := g.clock.Now()
+	g.handleEvacuationNews(s, now)
 	g.loads.SetPeer(s.From, loads, now)
 	for _, p := range s.Placements {
 		g.cacheIndex.RecordFromPeer(fitting.Placement{Prompt: p.Prompt, Target: fitting.Key(p.Target)}, now)
--- a/cmd/router/gateway/store_epoch.go
+++ b/cmd/router/gateway/store_epoch.go
@@ -42,6 +42,7 @@
 	g.consulted.Store(true)
 	meter.CountBy("store_restored")
 	g.log.Warn("the store was restored from an older copy", "epoch", epoch, "known-epoch", known)
+	g.watchers.table.resetBefore(epoch)
 	g.watchers.table.interrupt()
 	g.watchers.registry.interrupt()
 	select {
@@ -55,9 +56,11 @@
 	return !g.watchers.table.knownRevision().IsZero() || !g.watchers.registry.knownRevision().IsZero()
 }
 
-// mayServe reports whether a router that has started has asked its peers for what a
-// restored store may lack. It needn't if the store was never restored.
-func (g *Gateway) mayServe() bool { return g.storeEpoch.Load() == 0 || g.consulted.Load() }
+// mayServe reports whether a router that has started knows what is evacuated, and has asked its
+// peers for what a restored store may lack. It needn't if the store was never restored.
+func (g *Gateway) mayServe() bool {
+	return g.knowsEvacuations() && (g.storeEpoch.Load() == 0 || g.consulted.Load())
+}
 
 // consultPeers asks peers, when this router starts, for a newer routing table than
 // that of the store, and for targets that are withdrawn. It ends with the first peer
