Cold targets need permits from the one router that issues theirs

Targets of a service with a cold start crash when all routers together send them more than a few requests a second. The routing table gives cold_start_s and cold_per_s, registry entries and responses (X-Cold-Ms) say how much longer a target stays cold.

quota keeps the statement about each target that counts, with its age; a target that joins the view unknown is presumed cold. An entry that ends the coldness counts as written 2 s before it was read, as the time of writing isn't known. The issuer gives out permits at the rate with a burst of two, an asking router uses one within 200 ms or not at all. A router issues only if it has heard more than half of the fleet for as long as the views of the routers take to settle, and no router that comes first for the target within that time.

Ruled out: cold statements with the age of a statement about a limit, as builds before this one would take them to end the limit. So peer.TargetLimit has the new field cold_ago_ms.

--- a/cmd/router/gateway/cached.go
+++ b/cmd/router/gateway/cached.go
@@ -65,7 +65,7 @@
 }
 
 func (g *Gateway) queryEngine(ctx context.Context, u *upstream) {
-	if u.pausedFor(g.clock.Now()) > 0 || g.limits.Limit(u.limitKey()).Limited() {
+	if u.pausedFor(g.clock.Now()) > 0 || g.hasLimit(u) {
 		return
 	}
 	cached, err := g.fetchCachedParts(ctx, u)
--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -144,6 +144,7 @@
 	g.handleDefects(reply.From, reply.Defects)
 	g.applyPeerTable(reply, "peer "+address.String())
 	if registryRevision(reply).After(current.registry) {
+		g.recordColdBeliefs(reply)
 		g.updateView(registryUpdate(reply, current.registryDigest, g.clock.Now()))
 		g.watchers.registry.advance(g.versions().registry)
 	} else if len(reply.Withdrawn) > 0 {
--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -12,6 +12,7 @@
 // selectUpstream selects the target of the next attempt, or returns a rejection. If the
 // target names a limit, the request has a permit when it returns.
 func (t *transaction) selectUpstream(ctx context.Context) (*upstream, *rejection) {
+	t.permit = heldPermit{}
 	for {
 		u, maxWait, rejected := t.chooseUpstream()
 		if rejected != nil {
@@ -21,7 +22,7 @@
 			return u, nil
 		}
 		if t.permitsDenied > maxPermitsDenied {
-			wait := fitting.AfterPause(max(u.permitIn(t.g.clock.Now()), 0), t.g.choiceSeed.Add(1))
+			wait := fitting.AfterPause(t.g.returnAfter(u, t.g.clock.Now()), t.g.choiceSeed.Add(1))
 			return nil, &rejection{status: http.StatusServiceUnavailable, reason: "targets are at their limits", retryAfter: wait}
 		}
 	}
@@ -74,10 +75,14 @@
 	failing := t.g.failingTargets(t.service, keys, now)
 	out := make([]fitting.Candidate, len(upstreams))
 	for i, u := range upstreams {
+		limit := t.g.limits.LimitAt(u.limitKey(), now)
 		out[i] = fitting.Candidate{
 			Target: u.target, Load: loads[i], Cached: cached[i],
 			Suspect: u.suspect(now) || failing[i], Tried: t.tried[u.key], PausedFor: u.pausedFor(now),
-			Limited: t.g.limits.Limit(u.limitKey()).NeedsPermit(),
+			Limited: limit.NeedsPermit(),
+		}
+		if limit.Cold() {
+			out[i].ColdFor, _ = t.g.limits.ColdFor(u.limitKey(), now)
 		}
 		if out[i].Limited {
 			out[i].PermitIn = t.permitIn(u, now)
--- /dev/null
+++ b/cmd/router/gateway/cold_test.go
@@ -0,0 +1,233 @@
+package gateway
+
+import (
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillalug.example/platform/platformtest"
+)
+
+const (
+	// coldRate is how many requests a second a cold target takes, and coldBound how many it survives in
+	// any second: one and a half times as many, and five.
+	coldRate  = 4.0
+	coldBound = 11
+	// coldTestTime is how long targets of the service are cold.
+	coldTestTime = 6 * time.Second
+	// coldTestInterval is the time between two requests through one of the routers.
+	coldTestInterval = 5 * time.Millisecond
+	heartbeatTime    = 300 * time.Millisecond
+)
+
+// coldFleet is several routers and targets of a service with a cold start.
+type coldFleet struct {
+	t       *testing.T
+	store   *platformtest.Store
+	service string
+	seeds   []netip.AddrPort
+
+	mu      sync.Mutex
+	routers []*testRouter
+	targets []*platformtest.Target
+	served  int
+}
+
+func newColdFleet(t *testing.T, service string, routers int) *coldFleet {
+	f := &coldFleet{t: t, store: platformtest.NewStore(), service: service}
+	t.Cleanup(f.store.Close)
+	table := routes()
+	for i := range table {
+		if table[i].Service == service {
+			table[i].ColdSeconds, table[i].ColdRate = coldTestTime.Seconds(), coldRate
+		}
+	}
+	f.store.PutJSON("op", "config", platformtest.RoutingTable(1, []string{testKey}, table...))
+	for i := range routers {
+		f.routers = append(f.routers, f.startRouter(name("r", i)))
+	}
+	return f
+}
+
+// startRouter starts a router whose end leaves the store of the fleet open.
+func (f *coldFleet) startRouter(name string) *testRouter {
+	tr := newTestRouterAt(f.t, f.store, name, f.seeds...)
+	tr.cleanups = tr.cleanups[:len(tr.cleanups)-1]
+	return tr
+}
+
+// start starts a target that is cold for a time; 0 is warm. Its heartbeats go on until the test ends.
+func (f *coldFleet) start(id string, cold platformtest.Cold) *platformtest.Target {
+	target, err := platformtest.NewTarget(id, f.service, f.service != plainService)
+	require.NoError(f.t, err)
+	f.t.Cleanup(target.Close)
+	target.SetCold(cold)
+	f.store.PutJSON("servers", id, target.Heartbeat(1))
+	done := make(chan struct{})
+	f.t.Cleanup(func() { close(done) })
+	go func() {
+		for n := 2; ; n++ {
+			select {
+			case <-done:
+				return
+			case <-time.After(heartbeatTime):
+				f.store.PutJSON("servers", id, target.Heartbeat(n))
+			}
+		}
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets = append(f.targets, target)
+	return target
+}
+
+func (f *coldFleet) router(n int) *testRouter {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.routers[n%len(f.routers)]
+}
+
+// load sends requests through all routers in turn for a time, and counts those that are served.
+func (f *coldFleet) load(path string, d time.Duration) {
+	var calls sync.WaitGroup
+	for i, begin := 0, time.Now(); time.Since(begin) < d; i++ {
+		tr := f.router(i)
+		calls.Go(func() {
+			w := tr.send(http.MethodPost, path, name("c", i), strings.NewReader("work"), func(r *http.Request) {
+				if f.service == promptService {
+					platformtest.SetPromptParts(r, "m", commonPart, topicPart, name("", i))
+				}
+			})
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if w.status == http.StatusOK {
+				f.served++
+			}
+		})
+		time.Sleep(coldTestInterval)
+	}
+	calls.Wait()
+}
+
+// kill ends a router without a goodbye and starts it again after a time.
+func (f *coldFleet) kill(n int, away time.Duration) {
+	old := f.router(n)
+	old.close()
+	time.Sleep(away)
+	next := f.startRouter(old.g.cfg.Name)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.routers[n] = next
+}
+
+func (f *coldFleet) requireAlive() {
+	for _, target := range f.targets {
+		require.False(f.t, target.Crashed(), "%s got %d requests in a second, %d are allowed", target.ID, target.MostWhileCold(), coldBound)
+		f.t.Logf("%s: at most %d in a second", target.ID, target.MostWhileCold())
+	}
+}
+
+// TestColdTargets guards against a target that starts, or becomes cold again, getting more requests
+// than it survives from all routers together, whatever the routers know of it by then, and against it
+// getting none.
+func TestColdTargets(t *testing.T) {
+	tests := map[string]struct {
+		service, path string
+		warm          int
+		inResponses   bool
+	}{
+		"beside warm targets":      {plainService, "/safe/x", 2, false},
+		"no warm target":           {plainService, "/once/x", 0, false},
+		"beside warm engines":      {promptService, "/prompt/x", 2, false},
+		"no warm engine":           {promptService, "/prompt/x", 0, false},
+		"stated in responses, too": {plainService, "/safe/x", 0, true},
+	}
+	for title, tt := range tests {
+		t.Run(title, func(t *testing.T) {
+			t.Parallel()
+			f := newColdFleet(t, tt.service, 3)
+			for i := range tt.warm {
+				f.start(name("w", i), platformtest.Cold{InResponses: tt.inResponses, MaxPerSecond: coldBound})
+			}
+			cold := platformtest.Cold{For: coldTestTime, MaxPerSecond: coldBound, InResponses: tt.inResponses}
+			go func() {
+				time.Sleep(time.Second)
+				f.start("c0", cold)
+				f.start("c1", cold)
+			}()
+			f.load(tt.path, coldTestTime)
+			f.requireAlive()
+			require.Len(t, f.targets, tt.warm+2)
+			t.Logf("served %d", f.served)
+			for _, target := range f.targets {
+				if tt.warm > 0 {
+					continue
+				}
+				require.NotZero(t, target.MostWhileCold(), "a cold target takes some requests")
+			}
+		})
+	}
+}
+
+// TestPresumeCold guards against targets being taken for warm of which nothing is known, or whose failure
+// domain was evacuated, and against those being taken for cold whose entries say that they are warm.
+func TestPresumeCold(t *testing.T) {
+	t.Parallel()
+	f := newColdFleet(t, plainService, 1)
+	tr := f.routers[0]
+	warm := f.start("w0", platformtest.Cold{MaxPerSecond: coldBound})
+	unknown := warm.Entry("ready")
+	delete(unknown, "cold_remaining_ms")
+	f.store.PutJSON("servers", "unknown", unknown)
+	negative := warm.Entry("ready")
+	negative["cold_remaining_ms"] = -5
+	f.store.PutJSON("servers", "negative", negative)
+	tr.waitReady(3)
+	cold := func(id string) time.Duration {
+		remaining, _ := tr.g.limits.ColdFor(tr.g.upstreams.Load().byIncarnation[id].limitKey(), time.Now())
+		return remaining
+	}
+	require.Zero(t, cold("w0/1"))
+	require.Positive(t, cold("unknown/1"))
+	require.Positive(t, cold("negative/1"))
+	tr.g.presumeColdPlace("elsewhere", time.Now())
+	require.Zero(t, cold("w0/1"))
+	tr.g.presumeColdPlace(warm.Place, time.Now())
+	require.Greater(t, cold("w0/1"), coldTestTime/2)
+	time.Sleep(2 * heartbeatTime)
+	require.Positive(t, cold("w0/1"), "the entry may have been written before")
+	require.Eventually(t, func() bool { return cold("w0/1") == 0 }, waitTimeout, pollInterval, "a later entry says that it is warm")
+}
+
+// TestColdTargetsWhileRoutersRestart guards against routers that are killed and start again, the one
+// that issues permits among them, forgetting that targets are cold or issuing a rate each.
+func TestColdTargetsWhileRoutersRestart(t *testing.T) {
+	f := newColdFleet(t, plainService, 3)
+	cold := platformtest.Cold{For: time.Hour, MaxPerSecond: coldBound}
+	for i := range 3 {
+		f.start(name("c", i), cold)
+	}
+	var restarts sync.WaitGroup
+	restarts.Go(func() {
+		for n := range 3 {
+			time.Sleep(2 * time.Second)
+			f.kill(n, 500*time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		for n := range 3 {
+			restarts.Go(func() { f.kill(n, 200*time.Millisecond) })
+		}
+	})
+	f.load("/safe/x", 16*time.Second)
+	restarts.Wait()
+	f.requireAlive()
+	for _, target := range f.targets {
+		require.NotZero(t, target.MostWhileCold(), "a cold target takes some requests")
+	}
+	t.Logf("served %d", f.served)
+}
--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -73,6 +73,10 @@
 	if !conn.Reused() {
 		t.g.recordConnect(u)
 	}
+	if t.permitExpired(t.g.clock.Now()) {
+		t.keepUnused(conn)
+		return permitUnused{}
+	}
 	// When the caller disconnects or the deadline passes, fail all reads and
 	// writes. Closing the connection then cancels the target's work.
 	stopWatch := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -69,6 +69,10 @@
 	targetStates *targetStates
 	// permits has those that this router issues for all routers.
 	permits *quota.Issuer
+	// coldDuty decides whether this router may issue the permits of cold targets.
+	coldDuty quota.Duty
+	// loggedCold has the targets that were logged as cold, by service; only maintain uses it.
+	loggedCold map[string]map[string]bool
 	// idleTimeouts are estimates of how long connections to targets may be idle.
 	idleTimeouts idleTimeouts
 	// streams has the software versions at which streams began, and softwareVersions those
@@ -200,6 +204,7 @@
 	go g.warmUp(ctx)
 	stops := []func(){
 		g.clock.Every(shareInterval, g.sendShare),
+		g.clock.Every(shareInterval, g.tickColdDuty),
 		g.clock.Every(maintainInterval, g.maintain),
 		g.clock.Every(probeTick, g.probeTargets),
 	}
--- a/cmd/router/gateway/observe_state.go
+++ b/cmd/router/gateway/observe_state.go
@@ -18,6 +18,7 @@
 	}
 	now := g.clock.Now()
 	g.observeLimit(u, r, request, now)
+	g.observeCold(u, r, now)
 	g.observePause(u, r, request, now)
 }
 
--- a/cmd/router/gateway/peer_server.go
+++ b/cmd/router/gateway/peer_server.go
@@ -38,6 +38,9 @@
 	if known && revision.Epoch() == asked.Epoch() {
 		reply.Partial = true
 		reply.Changes = changesToProto(changes)
+		for _, c := range reply.Changes {
+			g.addColdBelief(c.Target)
+		}
 		return reply, nil
 	}
 	reply.Withdrawn = withdrawnToProto(g.view.Withdrawn())
@@ -50,6 +53,9 @@
 		t.LeftMs = uint32(d.TimeLeft.Milliseconds())
 		reply.Targets = append(reply.Targets, t)
 	}
+	for _, t := range reply.Targets {
+		g.addColdBelief(t)
+	}
 	return reply, nil
 }
 
--- a/cmd/router/gateway/peers_serving.go
+++ b/cmd/router/gateway/peers_serving.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "vanillalug.example"
+import (
+	"time"
+
+	"vanillalug.example"
+)
 
 // bestRouter returns the router that rendezvous hashing selects for a key, of those that were
 // heard of lately and aren't shutting down, and its address; the address is invalid if it is
@@ -51,3 +55,35 @@
 	}
 	return seen
 }
+
+// issuersWithin returns the peers from which a datagram came within a time and that weren't shutting
+// down then.
+func (p *peers) issuersWithin(d time.Duration) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := p.clock.Now().Add(-d)
+	out := make([]string, 0, len(p.known))
+	for name, r := range p.known {
+		if r.issuesPermits && r.lastSeen.After(since) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// heard returns from how many peers a datagram came within ttl, and how many there are. While none is
+// known, the seeds count as such.
+func (p *peers) heard() (heard, known int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := p.clock.Now().Add(-p.ttl())
+	for name, r := range p.known {
+		if _, sent := p.versions[name]; sent && r.lastSeen.After(since) {
+			heard++
+		}
+	}
+	if len(p.known) == 0 {
+		return 0, len(p.seeds)
+	}
+	return heard, len(p.known)
+}
--- a/cmd/router/gateway/permits.go
+++ b/cmd/router/gateway/permits.go
@@ -40,13 +40,14 @@
 // the router that issues its permits has issued one. It waits until the permit is valid.
 func (t *transaction) takePermit(ctx context.Context, u *upstream, maxWait time.Duration) bool {
 	g := t.g
-	limit := g.limits.Limit(u.limitKey())
+	asked := g.clock.Now()
+	limit := g.limits.LimitAt(u.limitKey(), asked)
 	if !limit.NeedsPermit() {
 		return true
 	}
 	permit, issuer := t.requestPermit(ctx, u, maxWait)
-	t.choice += fmt.Sprintf(" limit=%.2f brittle=%t issuer=%s permit=%t wait=%s",
-		limit.Rate(), limit.Brittle(), issuer, permit.Granted, permit.Wait)
+	t.choice += fmt.Sprintf(" limit=%.2f cold=%.2f brittle=%t issuer=%s permit=%t wait=%s",
+		limit.Rate(), limit.ColdRate(), limit.Brittle(), issuer, permit.Granted, permit.Wait)
 	now := g.clock.Now()
 	if !permit.Granted {
 		t.permitsDenied++
@@ -55,6 +56,7 @@
 		return false
 	}
 	meter.CountBy("permits", "service", t.service, "outcome", "granted")
+	t.permit = heldPermit{cold: limit.Cold(), usableUntil: asked.Add(permit.Wait + quota.MaxColdPermitAge)}
 	sleep(ctx, permit.Wait)
 	if permit.Wait <= 0 || g.upstreams.Load().byIncarnation[u.target.Incarnation()] == u {
 		return true
@@ -92,11 +94,12 @@
 		t.place = heldPlace{target: target, id: id}
 		return permit, issuer
 	}
+	needsCold := g.limits.LimitAt(target, now).Cold()
 	ctx, cancel := reception.WithIdleTimeout(ctx, permitTimeout, permitTimeout)
 	defer cancel()
 	client := peer.NewBeliefsProtobufClient("http://"+address, g.peerClient)
 	reply, err := client.TakePermit(ctx, &peer.TakePermitRequest{
-		From: g.cfg.Name, Target: uint64(target), Limit: limitToProto(g.limits.Report(target, now)),
+		From: g.cfg.Name, Target: uint64(target), Limit: g.limitMessage(target, now),
 		MaxWaitMs: uint32(max(maxWait, 0).Milliseconds()),
 		Slots:     uint32(max(place.Slots, 0)), LeaseMs: uint32(max(place.Lease, 0).Milliseconds()),
 	})
@@ -105,6 +108,11 @@
 		return quota.Permit{Wait: noIssuerPause}, issuer
 	}
 	g.limits.RecordFromPeer(limitsFromProto([]*peer.TargetLimit{reply.Limit}), g.clock.Now())
+	g.recordColdReports([]*peer.TargetLimit{reply.Limit}, g.clock.Now())
+	if needsCold && (reply.Limit == nil || reply.Limit.ColdAgoMs == nil) {
+		// A build that doesn't know cold targets grants without counting them.
+		return quota.Permit{Wait: noIssuerPause}, issuer
+	}
 	t.place = heldPlace{target: target, id: quota.PlaceID(reply.Place), issuer: address}
 	return quota.Permit{Granted: reply.Granted, Wait: time.Duration(reply.WaitMs) * time.Millisecond}, issuer
 }
@@ -125,7 +133,14 @@
 // issuePermit issues a permit, with a place if the target is brittle.
 func (g *Gateway) issuePermit(target quota.TargetKey, place quota.PlaceRequest, maxWait time.Duration) (quota.Permit, quota.PlaceID) {
 	now := g.clock.Now()
-	limit := g.limits.Limit(target)
+	limit := g.limits.LimitAt(target, now)
+	if limit.Cold() {
+		share := g.coldShare(target, now)
+		if share == 0 {
+			return quota.Permit{Wait: noIssuerPause}, 0
+		}
+		limit = limit.AsCold(share * limit.ColdRate())
+	}
 	id := quota.PlaceID(0)
 	if limit.Brittle() {
 		var wait time.Duration
@@ -181,6 +196,7 @@
 	now := g.clock.Now()
 	target := quota.TargetKey(r.Target)
 	g.limits.RecordFromPeer(limitsFromProto([]*peer.TargetLimit{r.Limit}), now)
+	g.recordColdReports([]*peer.TargetLimit{r.Limit}, now)
 	permit, place := quota.Permit{Wait: noIssuerPause}, quota.PlaceID(0)
 	if issuer, _ := g.permitIssuer(target); issuer == g.cfg.Name {
 		permit, place = g.issuePermit(target, quota.PlaceRequest{
@@ -191,7 +207,7 @@
 	}
 	return &peer.TakePermitReply{
 		Granted: permit.Granted, WaitMs: uint32(permit.Wait.Round(time.Millisecond).Milliseconds()),
-		Limit: limitToProto(g.limits.Report(target, now)), Place: uint64(place),
+		Limit: g.limitMessage(target, now), Place: uint64(place),
 	}, nil
 }
 
@@ -199,6 +215,7 @@
 // nobody asks for.
 func (g *Gateway) forgetLimits(kept map[quota.TargetKey]bool, now time.Time) {
 	g.limits.Retain(func(target quota.TargetKey) bool { return kept[target] })
+	g.limits.RetainCold(func(target quota.TargetKey) bool { return kept[target] }, now)
 	g.permits.Expire(now)
 }
 
--- a/cmd/router/gateway/reachability.go
+++ b/cmd/router/gateway/reachability.go
@@ -53,7 +53,7 @@
 // find out whether they are, or are no more.
 func (g *Gateway) probeTargets(now time.Time) {
 	for _, service := range g.detours.ProbesDue(now) {
-		for _, u := range sample(g.upstreams.Load().byService[service], probesAtOnce) {
+		for _, u := range sample(g.warmFirst(service, now), probesAtOnce) {
 			go g.probeTarget(u)
 		}
 	}
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -56,6 +56,8 @@
 	tried         map[fitting.Key]bool
 	// place is that which the request has at a brittle target.
 	place heldPlace
+	// permit is that which the current attempt has.
+	permit heldPermit
 	// counted says that the retry budget has the request.
 	counted bool
 	// mayHaveRun says that a target may have executed the request.
@@ -174,6 +176,8 @@
 	switch o := t.roundTrip(ctx, u).(type) {
 	case notSent:
 		return t.handleNotSent(u, o)
+	case permitUnused:
+		return t.handlePermitUnused(u)
 	case notRun:
 		if o.status != http.StatusMisdirectedRequest {
 			t.g.defects.RecordAlive(defect.TargetKey(u.key), t.sentAt)
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -36,7 +36,10 @@
 		if old != nil && old.table.Version() >= table.Version() {
 			return
 		}
+		// Before and after, so that no request finds a target warm, and none that joins is missed.
+		g.refreshCold(table)
 		if g.table.CompareAndSwap(old, next) {
+			g.refreshCold(table)
 			break
 		}
 	}
@@ -60,6 +63,7 @@
 			continue
 		}
 		g.ignoredEntries.remove(r.Key())
+		g.observeColdEntry(t)
 		snapshot.Targets = append(snapshot.Targets, t)
 	}
 	g.updateView(snapshot)
@@ -83,6 +87,7 @@
 			continue
 		}
 		g.ignoredEntries.remove(r.Key())
+		g.observeColdEntry(t)
 		changes = append(changes, crew.Changed{At: now, Target: t, Revision: r.Revision()})
 	}
 	if len(changes) > 0 {
@@ -98,6 +103,7 @@
 	effects := g.view.Handle(e)
 	g.logEffects(effects)
 	if len(effects) > 0 {
+		g.presumeCold(effects)
 		g.rebuildUpstreams()
 		g.presumeBrittle(effects)
 	}
@@ -188,6 +194,7 @@
 	}
 	g.updateView(crew.Tick{At: now})
 	g.logFailingTargets(now)
+	g.logCold(now)
 	upstreams := g.upstreams.Load()
 	g.forgetLimits(g.targetStates.expire(upstreams.byIncarnation, now), now)
 	g.detours.Retain(func(service string) bool { return len(upstreams.byService[service]) > 0 })
--- a/cmd/router/meter/meter.go
+++ b/cmd/router/meter/meter.go
@@ -104,6 +104,11 @@
 	metrics.GetOrCreateGauge("vanillalug_"+name, read)
 }
 
+// Set sets the gauge of a name with pairs of labels and values.
+func Set(name string, value float64, labels ...string) {
+	metrics.GetOrCreateGauge(labelled("vanillalug_"+name, labels), nil).Set(value)
+}
+
 // Write writes all metrics in the Prometheus text format.
 func Write(w io.Writer) { metrics.WritePrometheus(w, true) }
 
--- a/crew/target.go
+++ b/crew/target.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // State is the state that a target reports.
@@ -30,6 +31,10 @@
 	written     uint64
 	// softwareVersion is "" if the target is not known to have stated it.
 	softwareVersion string
+	// coldRemaining is how much longer the target stays cold, as its entry states; coldKnown says
+	// that it does.
+	coldRemaining time.Duration
+	coldKnown     bool
 }
 
 // Option configures a new Target.
@@ -57,6 +62,11 @@
 // WithSoftwareVersion sets the version of the software that the target runs.
 func WithSoftwareVersion(v string) Option { return func(t *Target) { t.softwareVersion = v } }
 
+// WithColdRemaining sets how much longer the target stays cold, as its entry states; 0 is warm.
+func WithColdRemaining(d time.Duration) Option {
+	return func(t *Target) { t.coldRemaining, t.coldKnown = d, true }
+}
+
 // NewTarget returns a target of the service at an IP address and port.
 func NewTarget(id, service, address string, opts ...Option) Target {
 	t := Target{id: id, service: service, address: address}
@@ -99,6 +109,12 @@
 // is unknown.
 func (t *Target) SoftwareVersion() string { return t.softwareVersion }
 
+// ColdRemaining returns how much longer the target stays cold as of its entry, and whether the
+// entry states it.
+func (t *Target) ColdRemaining() (remaining time.Duration, known bool) {
+	return t.coldRemaining, t.coldKnown
+}
+
 // reportedSince reports whether the incarnation has reported to the registry since
 // its entry was known.
 func (t *Target) reportedSince(known Target) bool {
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -22,6 +22,8 @@
 	PausedFor time.Duration
 	// Limited marks a target that names a limit or is brittle, so that a request needs a permit.
 	Limited bool
+	// ColdFor is how much longer the target is cold, and takes few requests; 0 if it is warm.
+	ColdFor time.Duration
 	// PermitIn is the time until it is worth to ask for a permit; 0 or less is now.
 	PermitIn time.Duration
 }
--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -139,6 +139,9 @@
 	if c.Limited {
 		ms += limitCost
 	}
+	if c.ColdFor > 0 {
+		ms += coldCost(w)
+	}
 	return ms
 }
 
--- a/fitting/pause.go
+++ b/fitting/pause.go
@@ -7,10 +7,10 @@
 const pauseJitterDivisor = 4
 
 // shortestPause returns the time until the first of the candidates that the request was
-// not sent to takes requests again, or false if none is paused or at its limit.
+// not sent to takes requests again, or false if none is paused, at its limit or cold.
 func shortestPause(all []Candidate) (shortest time.Duration, found bool) {
 	for _, c := range all {
-		d := max(c.PausedFor, c.PermitIn)
+		d := max(c.PausedFor, c.PermitIn, c.ColdFor)
 		if c.Tried || d <= 0 {
 			continue
 		}
--- a/fitting/permit.go
+++ b/fitting/permit.go
@@ -30,3 +30,7 @@
 	}
 	return 0
 }
+
+// coldCost returns what is added for an engine that is cold, in milliseconds: the longer the prompt,
+// the more, so that it is left to requests with short prompts.
+func coldCost(w Work) int { return w.PromptTokens() / prefillRate }
--- a/plan/service.go
+++ b/plan/service.go
@@ -1,10 +1,16 @@
 package plan
 
+import "time"
+
 // Service is a group of equivalent targets.
 type Service struct {
 	name     string
 	maxConns int
 	engine   *Engine
+	// coldTime is how long a target may be slow after its start; 0 for a service without a cold start.
+	coldTime time.Duration
+	// coldRate is how many requests a second a cold target takes.
+	coldRate float64
 }
 
 // Engine holds the properties that the model engines of a service have in
@@ -57,3 +63,20 @@
 // Engine returns the common properties of the model engines, or nil for a plain
 // service.
 func (s Service) Engine() *Engine { return s.engine }
+
+// WithColdStart returns the service with targets that are cold for a time after they start, and
+// take only so many requests a second meanwhile. The service has no cold start unless both are
+// positive.
+func (s Service) WithColdStart(d time.Duration, perSecond float64) Service {
+	s.coldTime, s.coldRate = 0, 0
+	if d > 0 && perSecond > 0 {
+		s.coldTime, s.coldRate = d, perSecond
+	}
+	return s
+}
+
+// ColdTime returns how long a target is cold after it starts; 0 if the service has no cold start.
+func (s Service) ColdTime() time.Duration { return s.coldTime }
+
+// ColdRate returns how many requests a second a cold target takes.
+func (s Service) ColdRate() float64 { return s.coldRate }
--- a/quota/issuer.go
+++ b/quota/issuer.go
@@ -34,6 +34,8 @@
 	mu      sync.Mutex
 	targets map[TargetKey]*permits
 	places  map[TargetKey]*places
+	// cold has the permits of targets while they are cold.
+	cold map[TargetKey]*permits
 }
 
 // permits are those of one target.
@@ -44,24 +46,33 @@
 
 // NewIssuer returns an Issuer that hasn't issued any permit.
 func NewIssuer() *Issuer {
-	return &Issuer{targets: map[TargetKey]*permits{}, places: map[TargetKey]*places{}}
+	return &Issuer{targets: map[TargetKey]*permits{}, places: map[TargetKey]*places{}, cold: map[TargetKey]*permits{}}
 }
 
-// Take returns a permit that is valid after maxWait at most, if the limit allows one.
+// Take returns a permit that is valid after maxWait at most, if the limit allows one. For a target that
+// is cold and names a limit, both must allow it.
 func (i *Issuer) Take(target TargetKey, limit Limit, maxWait time.Duration, now time.Time) Permit {
-	if !limit.limited {
-		return Permit{Granted: true}
-	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	limiter := i.limiterOf(target, limit, now)
-	reservation := limiter.ReserveN(now, 1)
-	wait := reservation.DelayFrom(now)
-	if wait > maxWait {
-		reservation.CancelAt(now)
-		return Permit{Wait: wait}
+	var reservations []*rate.Reservation
+	if limit.Cold() {
+		reservations = append(reservations, i.coldLimiterOf(target, limit, now).ReserveN(now, 1))
+		maxWait = min(maxWait, MaxColdWait)
+	}
+	if limit.limited {
+		reservations = append(reservations, i.limiterOf(target, limit, now).ReserveN(now, 1))
+	}
+	wait := time.Duration(0)
+	for _, r := range reservations {
+		wait = max(wait, r.DelayFrom(now))
+	}
+	if wait <= maxWait {
+		return Permit{Granted: true, Wait: wait}
 	}
-	return Permit{Granted: true, Wait: wait}
+	for _, r := range reservations {
+		r.CancelAt(now)
+	}
+	return Permit{Wait: wait}
 }
 
 // limiterOf returns the limiter of a target, with the current limit. A new one has no
@@ -93,6 +104,11 @@
 			delete(i.targets, target)
 		}
 	}
+	for target, p := range i.cold {
+		if now.Sub(p.lastUsed) > idleTime {
+			delete(i.cold, target)
+		}
+	}
 	for target, p := range i.places {
 		if now.Sub(p.lastUsed) > idleTime {
 			delete(i.places, target)
--- a/quota/limit.go
+++ b/quota/limit.go
@@ -6,6 +6,8 @@
 	rate    float64
 	limited bool
 	brittle bool
+	// cold is the requests a second that the target takes as long as it is cold; 0 if it is warm.
+	cold float64
 }
 
 // NewLimit returns a limit in requests a second.
@@ -18,6 +20,19 @@
 	return l
 }
 
+// AsCold returns the limit of a target that is also cold, and takes only so many requests a second
+// meanwhile.
+func (l Limit) AsCold(perSecond float64) Limit {
+	l.cold = perSecond
+	return l
+}
+
+// Cold reports whether the target is cold.
+func (l Limit) Cold() bool { return l.cold > 0 }
+
+// ColdRate returns how many requests a second the target takes while it is cold; 0 if it is warm.
+func (l Limit) ColdRate() float64 { return l.cold }
+
 // Rate returns the limit in requests a second.
 func (l Limit) Rate() float64 { return l.rate }
 
@@ -28,4 +43,4 @@
 func (l Limit) Brittle() bool { return l.brittle }
 
 // NeedsPermit reports whether a request needs a permit.
-func (l Limit) NeedsPermit() bool { return l.limited || l.brittle }
+func (l Limit) NeedsPermit() bool { return l.limited || l.brittle || l.Cold() }
--- a/quota/table.go
+++ b/quota/table.go
@@ -29,6 +29,9 @@
 type Table struct {
 	mu     sync.Mutex
 	stated map[TargetKey]statement
+	// cold has what is known of targets of services with a cold start; from coldUntil on all are warm.
+	cold      map[TargetKey]*cold
+	coldUntil time.Time
 }
 
 // statement is what a target stated at a time.
@@ -40,7 +43,7 @@
 }
 
 // NewTable returns a Table without limits.
-func NewTable() *Table { return &Table{stated: map[TargetKey]statement{}} }
+func NewTable() *Table { return &Table{stated: map[TargetKey]statement{}, cold: map[TargetKey]*cold{}} }
 
 // Observe records the limit in a response of a target to this router. It returns the one
 // that was known before.
