--- a/quota/cold_table.go
+++ b/quota/cold_table.go
@@ -63,10 +63,18 @@
 		if known.source != ColdEntry && next.at.Before(known.at) {
 			return false
 		}
+		next.at = latest(next.at, known.at)
 	}
 	return t.setCold(s.Target, next, now)
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ObserveCold records what a response states that this router received. It reports whether the target
 // became cold by it.
 func (t *Table) ObserveCold(s ColdStatement, now time.Time) (becameCold bool) {
