Cold targets: placement, late permits, older builds, news between routers

A cold engine counts as busier and more costly the longer the prompt is, and a caller that gets no permit in time returns when the first target is warm, spread by a quarter.

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -12,7 +12,6 @@
 // selectUpstream selects the target of the next attempt, or returns a rejection. If the
 // target names a limit, the request has a permit when it returns.
 func (t *transaction) selectUpstream(ctx context.Context) (*upstream, *rejection) {
-	t.permit = heldPermit{}
 	for {
 		u, maxWait, rejected := t.chooseUpstream()
 		if rejected != nil {
@@ -51,7 +50,7 @@
 		}
 		return upstreams[decision.Index], decision.MaxWait, nil
 	case fitting.Paused:
-		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "targets want no requests", retryAfter: decision.RetryAfter}
+		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: pausedReason(candidates), retryAfter: decision.RetryAfter}
 	case fitting.Overloaded:
 		t.g.overloads.Rejected(t.service, now)
 		t.detail = fmt.Sprintf("pace=%s left=%s goal=%s crowded=%s total=%d of=%d",
--- a/cmd/router/gateway/cold.go
+++ b/cmd/router/gateway/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"vanillalug.example/cmd/router/channel"
@@ -197,7 +198,9 @@
 			Age: time.Duration(*l.ColdAgoMs) * time.Millisecond,
 		})
 	}
-	g.limits.RecordColdFromPeer(reports, now)
+	if len(reports) > 0 {
+		g.limits.RecordColdFromPeer(reports, now)
+	}
 }
 
 // tickColdDuty tells how many of the other routers this one hears.
@@ -215,6 +218,14 @@
 	return g.coldDuty.Share(target, quota.Standing{Name: g.cfg.Name, Heard: g.peers.issuersWithin(settle), SettleTime: settle}, now)
 }
 
+// pausedReason says why no target takes the request for now.
+func pausedReason(candidates []fitting.Candidate) string {
+	if slices.ContainsFunc(candidates, func(c fitting.Candidate) bool { return c.ColdFor > 0 && c.PausedFor <= 0 }) {
+		return "targets are cold"
+	}
+	return "targets want no requests"
+}
+
 // hasLimit reports whether the target names a limit or is cold, so that queries are left out.
 func (g *Gateway) hasLimit(u *upstream) bool {
 	limit := g.limits.LimitAt(u.limitKey(), g.clock.Now())
@@ -244,37 +255,3 @@
 	remaining, _ := g.limits.ColdFor(u.limitKey(), now)
 	return max(u.permitIn(now), remaining, 0)
 }
-
-// logCold logs which targets became cold or warm, and counts the cold ones.
-func (g *Gateway) logCold(now time.Time) {
-	if g.loggedCold == nil && !g.limits.AnyCold(now) {
-		return
-	}
-	if g.loggedCold == nil {
-		g.loggedCold = map[string]map[string]bool{}
-	}
-	for service, upstreams := range g.upstreams.Load().byService {
-		if _, ok := g.coldService(service); ok || g.loggedCold[service] != nil {
-			g.logColdService(service, upstreams, now)
-		}
-	}
-}
-
-func (g *Gateway) logColdService(service string, upstreams []*upstream, now time.Time) {
-	before, after := g.loggedCold[service], map[string]bool{}
-	for _, u := range upstreams {
-		incarnation := u.target.Incarnation()
-		remaining, source := g.limits.ColdFor(u.limitKey(), now)
-		switch {
-		case remaining > 0 && !before[incarnation]:
-			g.log.Info("target cold", "target", incarnation, "service", service, "for", remaining.String(), "source", string(source))
-		case remaining <= 0 && before[incarnation]:
-			g.log.Info("target warm", "target", incarnation, "service", service)
-		}
-		if remaining > 0 {
-			after[incarnation] = true
-		}
-	}
-	g.loggedCold[service] = after
-	meter.Set("cold_targets", float64(len(after)), "service", service)
-}
--- a/cmd/router/gateway/cold_test.go
+++ b/cmd/router/gateway/cold_test.go
@@ -1,16 +1,23 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"vanillalug.example/cmd/router/channel"
+	"vanillalug.example/peer"
 	"vanillalug.example/platform/platformtest"
+	"vanillalug.example/quota"
 )
 
 const (
@@ -231,3 +238,98 @@
 	}
 	t.Logf("served %d", f.served)
 }
+
+// TestPermitOfColdTargetIsTooOld guards against a permit being used long after it was issued, as the
+// connection to the target took its time: requests of several seconds would arrive in one.
+func TestPermitOfColdTargetIsTooOld(t *testing.T) {
+	t.Parallel()
+	f := newColdFleet(t, plainService, 0)
+	var dials atomic.Int64
+	slow := func(ctx context.Context, address string) (net.Conn, error) {
+		dials.Add(1)
+		time.Sleep(quota.MaxColdPermitAge * 3 / 2)
+		return channel.Dial(ctx, address)
+	}
+	tr := newTestRouterWith(t, f.store, "r0", []Option{WithTargetDialer(slow)})
+	f.routers = append(f.routers, tr)
+	f.start("c0", platformtest.Cold{For: time.Hour, MaxPerSecond: coldBound})
+	tr.waitReady(1)
+	require.Eventually(t, func() bool {
+		return tr.post("/safe/x", name("a", int(time.Now().UnixNano())), "work").status == http.StatusOK
+	}, 2*waitTimeout, 100*time.Millisecond)
+	require.Positive(t, dials.Load())
+	require.Contains(t, tr.logs.String(), "permit too old")
+	require.Len(t, f.targets[0].Arrivals(), 1)
+}
+
+// oldIssuer issues permits as a build does that doesn't know cold targets.
+type oldIssuer struct{ peer.Beliefs }
+
+func (oldIssuer) TakePermit(context.Context, *peer.TakePermitRequest) (*peer.TakePermitReply, error) {
+	return &peer.TakePermitReply{Granted: true, Limit: &peer.TargetLimit{}}, nil
+}
+
+// TestOldBuildIssuesNoPermitsOfColdTargets guards against requests being sent with the permits of a
+// router that doesn't count those of cold targets.
+func TestOldBuildIssuesNoPermitsOfColdTargets(t *testing.T) {
+	t.Parallel()
+	f := newColdFleet(t, plainService, 1)
+	f.start("c0", platformtest.Cold{For: time.Hour, MaxPerSecond: coldBound})
+	tr := f.routers[0]
+	tr.waitReady(1)
+	server := httptest.NewServer(peer.NewBeliefsServer(oldIssuer{}))
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	key := tr.g.upstreams.Load().byIncarnation["c0/1"].limitKey()
+	for i := range 100 {
+		tr.g.peers.update(name("old", i), peerVersions{address: address, issuesPermits: true})
+		if issuer, _ := tr.g.permitIssuer(key); issuer != tr.g.cfg.Name {
+			break
+		}
+	}
+	issuer, _ := tr.g.permitIssuer(key)
+	require.NotEqual(t, tr.g.cfg.Name, issuer)
+	w := tr.post("/safe/x", "a", "work")
+	require.Equal(t, http.StatusServiceUnavailable, w.status)
+	require.NotEmpty(t, w.header.Get("Retry-After"))
+	require.Empty(t, f.targets[0].Arrivals())
+}
+
+// TestColdnessReachesPeers guards against a router that doesn't read the registry itself missing that a
+// target becomes cold again, or is warm before its time, and against a router that asks a peer at its
+// start taking warm targets for cold.
+func TestColdnessReachesPeers(t *testing.T) {
+	t.Parallel()
+	f := newColdFleet(t, plainService, 1)
+	target := f.start("c0", platformtest.Cold{MaxPerSecond: coldBound})
+	from := f.routers[0]
+	from.waitReady(1)
+	key := from.g.upstreams.Load().byIncarnation["c0/1"].limitKey()
+	to := newColdFleet(t, plainService, 1).routers[0]
+	require.Eventually(t, func() bool { return to.g.table.Load() != nil }, waitTimeout, pollInterval)
+	reply, err := from.g.GetBeliefs(t.Context(), &peer.GetBeliefsRequest{})
+	require.NoError(t, err)
+	to.g.applyReply(reply, netip.MustParseAddrPort("127.0.0.1:9"), versions{})
+	to.waitReady(1)
+	cold := func(tr *testRouter) bool { return tr.g.limits.LimitAt(key, time.Now()).Cold() }
+	require.False(t, cold(to), "the peer knows that it is warm")
+	tell := func() {
+		share := from.g.buildShare(nil, time.Now())
+		to.g.handleShare(share, netip.MustParseAddrPort("127.0.0.1:9"))
+	}
+	tell()
+	require.False(t, cold(to))
+	digest := from.g.versions().registryDigest
+	target.SetCold(platformtest.Cold{For: time.Hour, MaxPerSecond: coldBound})
+	require.Eventually(t, func() bool { return cold(from) }, waitTimeout, pollInterval)
+	tell()
+	require.True(t, cold(to))
+	require.Equal(t, digest, from.g.versions().registryDigest, "coldness is not part of the digest")
+	target.SetCold(platformtest.Cold{MaxPerSecond: coldBound})
+	require.Eventually(t, func() bool {
+		tell()
+		return !cold(from) && !cold(to)
+	}, waitTimeout, 20*pollInterval)
+	require.Eventually(t, func() bool { return strings.Contains(from.logs.String(), `"target warm"`) }, waitTimeout, pollInterval)
+	require.Equal(t, 1, strings.Count(from.logs.String(), `"target cold"`))
+}
--- a/cmd/router/gateway/permits.go
+++ b/cmd/router/gateway/permits.go
@@ -40,6 +40,7 @@
 // the router that issues its permits has issued one. It waits until the permit is valid.
 func (t *transaction) takePermit(ctx context.Context, u *upstream, maxWait time.Duration) bool {
 	g := t.g
+	t.permit = heldPermit{}
 	asked := g.clock.Now()
 	limit := g.limits.LimitAt(u.limitKey(), asked)
 	if !limit.NeedsPermit() {
--- a/fitting/choose_plain.go
+++ b/fitting/choose_plain.go
@@ -10,7 +10,7 @@
 func chooseLeastLoaded(q Request, all []Candidate, left []int) Decision {
 	best := slices.MinFunc(left, func(a, b int) int {
 		return cmp.Or(
-			cmp.Compare(utilization(all[a]), utilization(all[b])),
+			cmp.Compare(utilization(q.Work, all[a]), utilization(q.Work, all[b])),
 			compareBool(all[a].Limited, all[b].Limited),
 			cmp.Compare(distance(q.Place, all[a]), distance(q.Place, all[b])),
 			cmp.Compare(mix(q.Random^rendezvousScore(0, all[a].Target)), mix(q.Random^rendezvousScore(0, all[b].Target))))
@@ -19,9 +19,14 @@
 }
 
 // utilization returns the requests per slot. Targets below about a third count
-// as idle, so that those in the same place are preferred among them.
-func utilization(c Candidate) float64 {
-	f := float64(c.Load.requests) / float64(max(c.Target.Slots(), 1))
+// as idle, so that those in the same place are preferred among them. A cold engine counts as busier the
+// longer the prompt is.
+func utilization(w Work, c Candidate) float64 {
+	requests := c.Load.requests
+	if c.ColdFor > 0 {
+		requests += coldCost(w) / requestCost
+	}
+	f := float64(requests) / float64(max(c.Target.Slots(), 1))
 	if f < 0.34 {
 		return 0
 	}
--- a/fitting/permit_test.go
+++ b/fitting/permit_test.go
@@ -66,3 +66,50 @@
 	q.Priority = 2
 	require.IsType(t, Paused{}, Choose(q, []Candidate{c}))
 }
+
+// TestChooseAmongCold guards against cold engines being sent the requests that cost most there, while
+// others are left, and against callers that return long before any target is warm.
+func TestChooseAmongCold(t *testing.T) {
+	const coldFor = 20 * time.Second
+	cold := func(id string, permitIn time.Duration) Candidate {
+		c := engine(id, 0, 0)
+		c.Limited, c.ColdFor, c.PermitIn = true, coldFor, permitIn
+		return c
+	}
+	busy, busier := engine("warm", 30, 0), engine("warm", 45, 0)
+	paused := engine("paused", 0, 0)
+	paused.PausedFor = 2 * time.Second
+	prompt := func(tokens int) Work { return NewWork("m", nil, tokens, 10) }
+	shared := func(tokens int) Work { return NewWork("m", []Part{NewPart(1, tokens), NewPart(2, 10)}, tokens+10, 10) }
+	tests := map[string]struct {
+		work Work
+		all  []Candidate
+		// want is the index, or -1 for a rejection with the time.
+		want  int
+		after time.Duration
+	}{
+		"a short prompt, warm ones are busy":   {prompt(100), []Candidate{cold("a", 0), busy}, 0, 0},
+		"a long prompt":                        {prompt(20000), []Candidate{cold("a", 0), busy}, 1, 0},
+		"a prompt that is cached elsewhere":    {shared(3000), []Candidate{cold("a", 0), cached(engine("warm", 4, 0))}, 1, 0},
+		"a short one that is cached nowhere":   {shared(100), []Candidate{cold("a", 0), busier}, 0, 0},
+		"a warm one is idle":                   {prompt(100), []Candidate{cold("a", 0), engine("warm", 0, 0)}, 1, 0},
+		"only cold ones, a permit":             {prompt(100), []Candidate{cold("a", time.Second), cold("b", 0)}, 1, 0},
+		"only cold ones, a permit in time":     {prompt(100), []Candidate{cold("a", time.Second), cold("b", time.Second/4)}, 1, 0},
+		"only cold ones, none in time":         {prompt(100), []Candidate{cold("a", time.Second), cold("b", 2*time.Second)}, -1, coldFor},
+		"none in time, and one that is paused": {prompt(100), []Candidate{cold("a", time.Second), paused}, -1, 2 * time.Second},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			for random := range uint64(20) {
+				q := Request{Work: tt.work, Slots: 64, TimeLeft: 10 * time.Second, Objective: time.Second, Random: random}
+				got := Choose(q, tt.all)
+				if tt.want >= 0 {
+					require.Equal(t, tt.want, got.(Chosen).Index)
+					continue
+				}
+				require.GreaterOrEqual(t, got.(Paused).RetryAfter, tt.after)
+				require.LessOrEqual(t, got.(Paused).RetryAfter, tt.after*5/4)
+			}
+		})
+	}
+}
--- a/quota/cold.go
+++ b/quota/cold.go
@@ -52,7 +52,7 @@
 }
 
 func (r ColdReport) valid() bool {
-	return r.Age >= 0 && r.Age <= maxColdAge && r.Remaining >= 0 && r.Rate >= 0 && !math.IsInf(r.Rate, 0)
+	return r.Age >= 0 && r.Age <= maxColdAge && (r.Remaining == 0 || r.Remaining > 0 && r.Rate > 0 && !math.IsInf(r.Rate, 0))
 }
 
 // cold is the statement about one target that counts.
