--- a/cmd/router/gateway/cached.go
+++ b/cmd/router/gateway/cached.go
@@ -66,7 +66,7 @@
 }
 
 func (g *Gateway) queryEngine(ctx context.Context, u *upstream) {
-	if !g.mayReach(u) || u.pausedFor(g.clock.Now()) > 0 || g.limits.Limit(u.limitKey()).Limited() {
+	if !g.mayReach(u) || u.pausedFor(g.clock.Now()) > 0 || g.hasLimit(u) {
 		return
 	}
 	cached, err := g.fetchCachedParts(ctx, u)
--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -21,7 +21,7 @@
 			return u, nil
 		}
 		if t.permitsDenied > maxPermitsDenied {
-			wait := fitting.AfterPause(max(u.permitIn(t.g.clock.Now()), 0), t.g.choiceSeed.Add(1))
+			wait := fitting.AfterPause(t.g.returnAfter(u, t.g.clock.Now()), t.g.choiceSeed.Add(1))
 			return nil, &rejection{status: http.StatusServiceUnavailable, reason: "targets are at their limits", retryAfter: wait}
 		}
 	}
@@ -54,7 +54,7 @@
 		}
 		return upstreams[decision.Index], decision.MaxWait, nil
 	case fitting.Paused:
-		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "targets want no requests", retryAfter: decision.RetryAfter}
+		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: pausedReason(candidates), retryAfter: decision.RetryAfter}
 	case fitting.Overloaded:
 		t.g.overloads.Rejected(t.service, now)
 		t.detail = fmt.Sprintf("pace=%s left=%s goal=%s crowded=%s total=%d of=%d",
@@ -79,10 +79,14 @@
 	failing := t.g.failingTargets(t.service, keys, now)
 	out := make([]fitting.Candidate, len(upstreams))
 	for i, u := range upstreams {
+		limit := t.g.limits.LimitAt(u.limitKey(), now)
 		out[i] = fitting.Candidate{
 			Target: u.target, Load: loads[i], OwnRequests: own[i], Cached: cached[i],
 			Suspect: u.suspect(now) || failing[i], Tried: t.tried[u.key], PausedFor: u.pausedFor(now),
-			Limited: t.g.limits.Limit(u.limitKey()).NeedsPermit(),
+			Limited: limit.NeedsPermit(),
+		}
+		if limit.Cold() {
+			out[i].ColdFor, _ = t.g.limits.ColdFor(u.limitKey(), now)
 		}
 		if out[i].Limited {
 			out[i].PermitIn = t.permitIn(u, now)
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -27,6 +27,8 @@
 	PausedFor time.Duration
 	// Limited marks a target that names a limit or is brittle, so that a request needs a permit.
 	Limited bool
+	// ColdFor is how much longer the target is cold, and takes few requests; 0 if it is warm.
+	ColdFor time.Duration
 	// PermitIn is the time until it is worth to ask for a permit; 0 or less is now.
 	PermitIn time.Duration
 }
@@ -110,6 +112,9 @@
 	if key, ok := q.Work.PromptKey(); ok && q.Slots > 0 {
 		return chooseEngine(q, key, all, left)
 	}
+	if q.Slots > 0 {
+		return chooseLeastLoaded(q, all, left)
+	}
 	return choosePlain(q, all, left)
 }
 
--- /dev/null
+++ b/fitting/choose_least_loaded.go
@@ -0,0 +1,34 @@
+package fitting
+
+import (
+	"cmp"
+	"slices"
+)
+
+// chooseLeastLoaded selects the least loaded engine for a prompt that shares nothing with others,
+// preferring those in the router's own place. Such requests run for longer than the loads of peers
+// are old.
+func chooseLeastLoaded(q Request, all []Candidate, left []int) Decision {
+	best := slices.MinFunc(left, func(a, b int) int {
+		return cmp.Or(
+			cmp.Compare(engineUtilization(q.Work, all[a]), engineUtilization(q.Work, all[b])),
+			compareBool(all[a].Limited, all[b].Limited),
+			cmp.Compare(distance(q.Place, all[a]), distance(q.Place, all[b])),
+			cmp.Compare(mix(q.Random^rendezvousScore(0, all[a].Target)), mix(q.Random^rendezvousScore(0, all[b].Target))))
+	})
+	return Chosen{Index: best, Source: NoSource, MaxWait: q.permitWait(all, left, best)}
+}
+
+// engineUtilization returns the requests per slot. Engines below idleUtilization count as idle, so
+// that those in the same place are preferred among them. A cold engine counts as busier the longer
+// the prompt is.
+func engineUtilization(w Work, c Candidate) float64 {
+	f := utilization(c)
+	if c.ColdFor > 0 {
+		f += float64(coldCost(w)/requestCost) / float64(max(c.Target.Slots(), 1))
+	}
+	if f < idleUtilization {
+		return 0
+	}
+	return f
+}
--- a/fitting/choose_plain.go
+++ b/fitting/choose_plain.go
@@ -30,7 +30,7 @@
 func idleNearby(q Request, all []Candidate, left []int) []int {
 	return slices.DeleteFunc(slices.Clone(left), func(i int) bool {
 		c := all[i]
-		return c.Limited || c.OwnRequests > 0 || utilization(c) >= idleUtilization || distance(q.Place, c) > 0
+		return c.Limited || c.ColdFor > 0 || c.OwnRequests > 0 || utilization(c) >= idleUtilization || distance(q.Place, c) > 0
 	})
 }
 
