Routers that know nobody issue no permits of cold targets

A router reads the addresses of the others 2 to 3 s after its start. Seen in TestColdTargets: each of three new routers knew nobody until then, heard all it knew, and would have issued a rate of its own after the settle time of a small fleet. Now it counts as one that hears nobody until it has read them, for 30 s at most.

Ruled out: counting the seeds instead; a deployment may have none.

--- a/cmd/router/gateway/cold.go
+++ b/cmd/router/gateway/cold.go
@@ -15,9 +15,14 @@
 	"vanillalug.example/quota"
 )
 
-// noLimitAge is the age of a statement about a limit in a message that is about a cold target only:
-// receivers ignore one so old.
-const noLimitAge = time.Hour
+const (
+	// noLimitAge is the age of a statement about a limit in a message that is about a cold target only:
+	// receivers ignore one so old.
+	noLimitAge = time.Hour
+	// listTime is the time after which a router that can't read the addresses of the others takes those
+	// that it has heard of for all.
+	listTime = 30 * time.Second
+)
 
 // heldPermit is a permit that an attempt has for its target.
 type heldPermit struct {
@@ -203,8 +208,13 @@
 	}
 }
 
-// tickColdDuty tells how many of the other routers this one hears.
+// tickColdDuty tells how many of the other routers this one hears. Before it has read who they are, it
+// counts as one that hears nobody: after a restart of all routers each would issue a rate.
 func (g *Gateway) tickColdDuty(now time.Time) {
+	if !g.routersListed.Load() && now.Sub(g.startedAt) < listTime {
+		g.coldDuty.Tick(0, 1, now)
+		return
+	}
 	heard, known := g.peers.heard()
 	g.coldDuty.Tick(heard+1, known+1, now)
 }
--- a/cmd/router/gateway/cold_test.go
+++ b/cmd/router/gateway/cold_test.go
@@ -12,12 +12,14 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"vanillalug.example/cmd/router/channel"
 	"vanillalug.example/peer"
 	"vanillalug.example/platform/platformtest"
 	"vanillalug.example/quota"
+	"vanillalug.example/schedule"
 )
 
 const (
@@ -132,6 +134,18 @@
 	f.routers[n] = next
 }
 
+// waitForDuty waits until the routers know each other, so that one issues permits.
+func (f *coldFleet) waitForDuty() {
+	require.Eventually(f.t, func() bool {
+		for _, tr := range f.routers {
+			if !tr.g.routersListed.Load() || len(tr.g.peers.all()) < len(f.routers)-1 {
+				return false
+			}
+		}
+		return true
+	}, 2*waitTimeout, pollInterval)
+}
+
 func (f *coldFleet) requireAlive() {
 	for _, target := range f.targets {
 		require.False(f.t, target.Crashed(), "%s got %d requests in a second, %d are allowed", target.ID, target.MostWhileCold(), coldBound)
@@ -147,12 +161,16 @@
 		service, path string
 		warm          int
 		inResponses   bool
+		behaviour     platformtest.Behaviour
 	}{
-		"beside warm targets":      {plainService, "/safe/x", 2, false},
-		"no warm target":           {plainService, "/once/x", 0, false},
-		"beside warm engines":      {promptService, "/prompt/x", 2, false},
-		"no warm engine":           {promptService, "/prompt/x", 0, false},
-		"stated in responses, too": {plainService, "/safe/x", 0, true},
+		"beside warm targets":      {plainService, "/safe/x", 2, false, platformtest.Serve},
+		"no warm target":           {plainService, "/once/x", 0, false, platformtest.Serve},
+		"beside warm engines":      {promptService, "/prompt/x", 2, false, platformtest.Serve},
+		"no warm engine":           {promptService, "/prompt/x", 0, false, platformtest.Serve},
+		"stated in responses, too": {plainService, "/safe/x", 0, true, platformtest.Serve},
+		"retries":                  {plainService, "/safe/x", 0, false, platformtest.ResetAfter},
+		"rejected and sent again":  {plainService, "/once/x", 0, false, platformtest.Shed},
+		"resumed streams":          {engineService, "/stream/x", 0, false, platformtest.Truncate},
 	}
 	for title, tt := range tests {
 		t.Run(title, func(t *testing.T) {
@@ -162,10 +180,11 @@
 				f.start(name("w", i), platformtest.Cold{InResponses: tt.inResponses, MaxPerSecond: coldBound})
 			}
 			cold := platformtest.Cold{For: coldTestTime, MaxPerSecond: coldBound, InResponses: tt.inResponses}
+			f.waitForDuty()
 			go func() {
 				time.Sleep(time.Second)
-				f.start("c0", cold)
-				f.start("c1", cold)
+				f.start("c0", cold).SetDefault(tt.behaviour)
+				f.start("c1", cold).SetDefault(tt.behaviour)
 			}()
 			f.load(tt.path, coldTestTime)
 			f.requireAlive()
@@ -214,6 +233,7 @@
 // TestColdTargetsWhileRoutersRestart guards against routers that are killed and start again, the one
 // that issues permits among them, forgetting that targets are cold or issuing a rate each.
 func TestColdTargetsWhileRoutersRestart(t *testing.T) {
+	t.Parallel()
 	f := newColdFleet(t, plainService, 3)
 	cold := platformtest.Cold{For: time.Hour, MaxPerSecond: coldBound}
 	for i := range 3 {
@@ -222,7 +242,7 @@
 	var restarts sync.WaitGroup
 	restarts.Go(func() {
 		for n := range 3 {
-			time.Sleep(2 * time.Second)
+			time.Sleep(4 * time.Second)
 			f.kill(n, 500*time.Millisecond)
 		}
 		time.Sleep(3 * time.Second)
@@ -230,7 +250,7 @@
 			restarts.Go(func() { f.kill(n, 200*time.Millisecond) })
 		}
 	})
-	f.load("/safe/x", 16*time.Second)
+	f.load("/safe/x", 24*time.Second)
 	restarts.Wait()
 	f.requireAlive()
 	for _, target := range f.targets {
@@ -239,6 +259,21 @@
 	t.Logf("served %d", f.served)
 }
 
+// TestColdEnginesAreNotQueried guards against a cold engine being asked for its cached prompts by all
+// routers that start.
+func TestColdEnginesAreNotQueried(t *testing.T) {
+	t.Parallel()
+	f := newColdFleet(t, promptService, 1)
+	f.start("c0", platformtest.Cold{For: time.Hour, MaxPerSecond: coldBound})
+	f.start("w0", platformtest.Cold{MaxPerSecond: coldBound})
+	tr := f.routers[0]
+	tr.waitReady(2)
+	before := f.targets[1].CacheListCalls()
+	tr.g.queryEngines(t.Context())
+	require.Greater(t, f.targets[1].CacheListCalls(), before)
+	require.Zero(t, f.targets[0].CacheListCalls())
+}
+
 // TestPermitOfColdTargetIsTooOld guards against a permit being used long after it was issued, as the
 // connection to the target took its time: requests of several seconds would arrive in one.
 func TestPermitOfColdTargetIsTooOld(t *testing.T) {
@@ -333,3 +368,22 @@
 	require.Eventually(t, func() bool { return strings.Contains(from.logs.String(), `"target warm"`) }, waitTimeout, pollInterval)
 	require.Equal(t, 1, strings.Count(from.logs.String(), `"target cold"`))
 }
+
+// TestRouterThatIsNewIssuesNoPermits guards against routers that all restart issuing a rate each before
+// they know of each other.
+func TestRouterThatIsNewIssuesNoPermits(t *testing.T) {
+	t.Parallel()
+	g := New(Config{Name: "r0"}, schedule.NewSystem(), hclog.NewNullLogger(), nil, nil)
+	g.routersListed.Store(true)
+	now := g.startedAt
+	tick := func(d time.Duration) float64 {
+		for end := now.Add(d); now.Before(end); now = now.Add(shareInterval) {
+			g.tickColdDuty(now)
+		}
+		return g.coldShare(1, now)
+	}
+	require.InDelta(t, 1, tick(4*time.Second), 0)
+	g.routersListed.Store(false)
+	require.Zero(t, tick(4*time.Second))
+	require.InDelta(t, 1, tick(listTime), 0)
+}
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -71,6 +71,10 @@
 	permits *quota.Issuer
 	// coldDuty decides whether this router may issue the permits of cold targets.
 	coldDuty quota.Duty
+	// routersListed says that this router has read the addresses of the others, and startedAt is when
+	// it started.
+	routersListed atomic.Bool
+	startedAt     time.Time
 	// loggedCold has the targets that were logged as cold, by service; only maintain uses it.
 	loggedCold map[string]map[string]bool
 	// idleTimeouts are estimates of how long connections to targets may be idle.
@@ -179,6 +183,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.startedAt = clock.Now()
 	g.upstreams.Store(&upstreamSet{byService: map[string][]*upstream{}, byIncarnation: map[string]*upstream{}})
 	g.peers = newPeers(clock)
 	g.SetSeeds(cfg.Seeds)
--- a/cmd/router/gateway/registration.go
+++ b/cmd/router/gateway/registration.go
@@ -112,6 +112,7 @@
 		found[r.Key()] = address
 	}
 	g.peers.add(found)
+	g.routersListed.Store(true)
 	return listed, nil
 }
 
