--- a/cmd/router/gateway/cold_test.go
+++ b/cmd/router/gateway/cold_test.go
@@ -387,3 +387,29 @@
 	require.Zero(t, tick(4*time.Second))
 	require.InDelta(t, 1, tick(listTime), 0)
 }
+
+// TestIssuerWithoutTheTarget guards against a router that has no entry of a cold target, but issues its
+// permits, granting them without a bound, or none.
+func TestIssuerWithoutTheTarget(t *testing.T) {
+	t.Parallel()
+	f := newColdFleet(t, plainService, 1)
+	f.waitForDuty()
+	ago := uint32(0)
+	limit := &peer.TargetLimit{
+		Target: 7, AgoMs: uint32(noLimitAge.Milliseconds()), ColdMs: 60000, ColdRequestsPerSecond: coldRate, ColdAgoMs: &ago,
+	}
+	ask := func() bool {
+		reply, err := f.routers[0].g.TakePermit(t.Context(), &peer.TakePermitRequest{From: "test", Target: 7, Limit: limit})
+		require.NoError(t, err)
+		require.NotNil(t, reply.Limit.ColdAgoMs, "it says what it knows")
+		return reply.Granted
+	}
+	require.Eventually(t, ask, 2*waitTimeout, pollInterval)
+	granted := 0
+	for begin := time.Now(); time.Since(begin) < 2*time.Second; time.Sleep(pollInterval) {
+		if ask() {
+			granted++
+		}
+	}
+	require.InDelta(t, 2*coldRate, granted, 3)
+}
