capacity: estimates of each target's speed, shared and used in placement

Targets of a service differ in speed and some slow down without saying so; placement counted requests and assumed one prefill rate and one service time for all.

Package capacity keeps decaying averages for each incarnation (time for a prompt token, pause between events, service time), relative to the service's median. The gateway observes them where the target alone determines them: no blocked writes, no garbled events, no requests relayed by a peer, none that may have waited for a slot. Datagrams carry what differs. cost and the predicted wait use the estimates; without observations every choice is as before.

The tests of fitting (unchanged) and of cmd/router/gateway pass; the linter is clean. What callers gain is not measured yet.

--- a/cmd/router/gateway/attempt_outcome.go
+++ b/cmd/router/gateway/attempt_outcome.go
@@ -47,6 +47,7 @@
 
 func (t *transaction) handleNotRun(u *upstream, o notRun) bool {
 	t.logAttempt("not run", nil)
+	t.observeRefusal(o.status)
 	if o.status == http.StatusMisdirectedRequest {
 		t.recordFailure(u, responseFailureWeight)
 	}
--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"vanillalug.example/capacity"
 	"vanillalug.example/fitting"
 )
 
@@ -43,7 +44,7 @@
 	switch decision := fitting.Choose(req, candidates).(type) {
 	case fitting.Chosen:
 		t.choice = describeChoice(candidates, decision.Index)
-		t.copyFrom = ""
+		t.copyFrom, t.wasCached = "", candidates[decision.Index].Cached
 		if decision.Source != fitting.NoSource {
 			t.copyFrom = upstreams[decision.Source].target.Address()
 			t.choice += " source=" + upstreams[decision.Source].target.Incarnation()
@@ -72,10 +73,12 @@
 		cached = t.g.cacheIndex.Cached(prompt, keys, now)
 	}
 	failing := t.g.failingTargets(t.service, keys, now)
+	estimates := make([]capacity.Estimate, len(keys))
+	capacity.Estimates(t.g.capacity, keys, now, estimates)
 	out := make([]fitting.Candidate, len(upstreams))
 	for i, u := range upstreams {
 		out[i] = fitting.Candidate{
-			Target: u.target, Load: loads[i], Cached: cached[i],
+			Target: u.target, Load: loads[i], Cached: cached[i], Estimate: estimates[i],
 			Suspect: u.suspect(now) || failing[i], Tried: t.tried[u.key], PausedFor: u.pausedFor(now),
 			Limited: t.g.limits.Limit(u.limitKey()).NeedsPermit(),
 		}
--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -41,6 +41,7 @@
 		}
 	} else {
 		t.completed = true
+		t.observeServed(o.meta.Status())
 		t.recordSuccess(u)
 		if !o.meta.ImpliesNotRun() {
 			t.recordSound()
--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -93,6 +93,7 @@
 	}
 	o := responded{conn: conn, response: response, meta: platform.ReadResponse(response), stopWatch: stopWatch}
 	o.reusable = !stray && !response.Close && writeCompleted(writeDone)
+	t.observeHead(o.meta)
 	if o.meta.NotRun() {
 		t.releaseConn(o, discardBody(response.Body))
 		return notRun{status: response.StatusCode}
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"vanillalug.example"
 	"vanillalug.example/allowance"
+	"vanillalug.example/capacity"
 	"vanillalug.example/cmd/router/channel"
 	"vanillalug.example/crew"
 	"vanillalug.example/defect"
@@ -67,6 +68,8 @@
 	limits *quota.Table
 	// targetStates is what this router learned from the targets.
 	targetStates *targetStates
+	// capacity has how much load each target takes well.
+	capacity *capacity.Table
 	// permits has those that this router issues for all routers.
 	permits *quota.Issuer
 	// idleTimeouts are estimates of how long connections to targets may be idle.
@@ -166,6 +169,7 @@
 		retryBudget:      allowance.NewWindowBudget(cfg.RetryWindow, cfg.RetryRatio, cfg.RetryExtra),
 		targetStates:     newTargetStates(),
 		limits:           quota.NewTable(),
+		capacity:         capacity.NewTable(),
 		permits:          quota.NewIssuer(),
 		streams:          edition.NewRecords(),
 		softwareVersions: edition.NewHistory(),
@@ -179,6 +183,7 @@
 	g.peers = newPeers(clock)
 	g.SetSeeds(cfg.Seeds)
 	g.watchers = g.newWatchers()
+	g.registerSlowness()
 	return g
 }
 
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -71,6 +71,7 @@
 	}
 	out.Defects = defectsToProto(g.defects.Reports(now))
 	out.Limits = limitsToProto(g.limits.OwnReports(g.peers.newsTime(), now))
+	out.Observations = observationsToProto(g.capacity.Own(g.peers.observationsTime(), now))
 	for _, p := range g.peers.recentPlacements(now) {
 		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
 	}
@@ -117,6 +118,7 @@
 	g.failureReports.RecordFromPeer(s.From, failing, now)
 	g.handleDefects(s.From, s.Defects)
 	g.limits.RecordFromPeer(limitsFromProto(s.Limits), now)
+	g.capacity.RecordFromPeer(observationsFromProto(s.Observations), now)
 	reported := peerVersions{
 		address: from, table: s.PlanVersion, registryDigest: s.RegistryDigest, following: s.Following,
 		registry:      vanillalug.NewStoreRevision(s.RegistryEpoch, s.RegistryRevision),
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -80,6 +80,7 @@
 		complete := events.advance(n)
 		if len(complete) > 0 {
 			empty = false
+			t.observeEvents(complete)
 			onFirstEvent()
 			t.recordProgress(u, complete)
 			t.recordOrigin(u)
@@ -87,6 +88,7 @@
 			if err := t.writeEvents(complete); err != nil {
 				return err
 			}
+			t.observeWritten()
 			events.consume(len(complete))
 		}
 		if events.pending() > maxEventSize {
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -46,6 +46,8 @@
 	sentAt time.Time
 	// written is how far the target has come with the response to the current attempt.
 	written writeProgress
+	// capacity is what the current attempt observes of the target's speed.
+	capacity capacityWatch
 	// attempts counts the targets that may have received the request.
 	attempts       int
 	failedConnects int
@@ -71,6 +73,8 @@
 	// copyFrom is the address of the engine from which the target copies the KV
 	// cache of the shared prompt, or "".
 	copyFrom string
+	// wasCached says that the target probably has the shared prompt cached.
+	wasCached bool
 	// responseStarted says that the head of a target's response was sent to the
 	// caller.
 	responseStarted bool
@@ -154,6 +158,7 @@
 	t.target = u.target.Incarnation()
 	t.software = u.target.SoftwareVersion()
 	prefillTokens := t.req.Work().PromptTokens()
+	t.watchCapacity(u)
 	t.g.loads.Add(u.key, 1, prefillTokens)
 	t.recordPlacement(u)
 	prefillDone := false
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -172,6 +172,7 @@
 		}
 	}
 	g.upstreams.Store(next)
+	g.setCapacityTargets(next)
 	for incarnation, u := range old.byIncarnation {
 		if next.byIncarnation[incarnation] != u {
 			u.pool.Close()
@@ -188,6 +189,7 @@
 	}
 	g.updateView(crew.Tick{At: now})
 	g.logFailingTargets(now)
+	g.reportSlowTargets(now)
 	upstreams := g.upstreams.Load()
 	g.forgetLimits(g.targetStates.expire(upstreams.byIncarnation, now), now)
 	g.detours.Retain(func(service string) bool { return len(upstreams.byService[service]) > 0 })
--- a/fitting/admission.go
+++ b/fitting/admission.go
@@ -33,7 +33,7 @@
 	if queued <= 0 || slots == 0 {
 		return Overloaded{}, false
 	}
-	wait := q.ServiceTime * time.Duration(queued) / time.Duration(slots)
+	wait := q.serviceTimeAt(all[shortest]) * time.Duration(queued) / time.Duration(slots)
 	if wait <= q.maxWait() && queued <= maxQueueFactor*slots {
 		return Overloaded{}, false
 	}
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"vanillalug.example/capacity"
 	"vanillalug.example/crew"
 )
 
@@ -10,6 +11,8 @@
 type Candidate struct {
 	Target crew.Target
 	Load   Load
+	// Estimate is how much load the target takes well; zero if nothing was observed.
+	Estimate capacity.Estimate
 	// Cached reports that the target probably has the shared prompt in its
 	// cache.
 	Cached bool
--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -21,6 +22,12 @@
 	// requestCost is the delay that a request adds to the others at the engine, in
 	// milliseconds.
 	requestCost = 5
+	// pauseWeight is how much a pause between events counts. At an engine as usual, one more
+	// request makes pauses longer by a seventh of requestCost.
+	pauseWeight = 7
+	// noRoomCost is added for an engine that lately had no room, in milliseconds: more than the
+	// prefill of most prompts.
+	noRoomCost = 2000
 	// limitCost is added for an engine that names a limit, in milliseconds, so that it
 	// is left to the requests whose prompt it has cached.
 	limitCost = 50
@@ -132,16 +139,33 @@
 // cost returns the delay that the work causes for all requests at the target, in
 // milliseconds. A copy counts like a prefill, as it isn't free either.
 func cost(w Work, c Candidate, preferred bool) int {
-	ms := c.Load.prefillTokens/prefillRate + c.Load.requests*requestCost
+	rate := float64(prefillRate)
+	if known := c.Estimate.PrefillRate(); known > 0 {
+		rate = known
+	}
+	ms := int(float64(c.Load.prefillTokens)/rate) + loadCost(c)
 	if !c.Cached && !preferred {
-		ms += prefillWeight * w.ReusableTokens() / prefillRate
+		ms += int(float64(prefillWeight*w.ReusableTokens()) / rate)
 	}
 	if c.Limited {
 		ms += limitCost
 	}
+	if !c.Estimate.HasRoom(c.Load.requests) {
+		ms += noRoomCost
+	}
 	return ms
 }
 
+// loadCost returns the delay by the requests that run at the target, in milliseconds. Where the
+// pauses between events are known, one request costs as much as before at a target as usual, and
+// a slow target costs more before it has any.
+func loadCost(c Candidate) int {
+	if !c.Estimate.KnowsPauses() {
+		return int(float64(c.Load.requests*requestCost) * c.Estimate.Slowness())
+	}
+	return int(pauseWeight * c.Estimate.Predict(c.Load.requests, 0).Pause / time.Millisecond)
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
--- a/fitting/choose_plain.go
+++ b/fitting/choose_plain.go
@@ -18,11 +18,22 @@
 	return Chosen{Index: best, Source: NoSource, MaxWait: q.permitWait(all, left, best)}
 }
 
-// utilization returns the requests per slot. Targets below about a third count
-// as idle, so that those in the same place are preferred among them.
+// idleUtilization is the utilization below which a target counts as idle, so that those in the same
+// place are preferred among them.
+const idleUtilization = 0.34
+
+// utilization returns the requests per slot, weighted by how slow the target is. A target that is
+// slow counts as loaded before it has any request, as much as one as usual on which the request
+// takes as long. Those below idleUtilization count as idle.
 func utilization(c Candidate) float64 {
 	f := float64(c.Load.requests) / float64(max(c.Target.Slots(), 1))
-	if f < 0.34 {
+	if slowness := c.Estimate.Slowness(); slowness != 1 {
+		f = f*slowness + idleUtilization*(slowness-1)
+	}
+	if !c.Estimate.HasRoom(c.Load.requests) {
+		f = max(f, 1)
+	}
+	if f < idleUtilization {
 		return 0
 	}
 	return f
