--- a/cmd/router/gateway/event_pace.go
+++ b/capacity/pace.go
@@ -1,7 +1,6 @@
-package gateway
+package capacity
 
 import (
-	"bytes"
 	"slices"
 	"time"
 )
@@ -21,33 +20,32 @@
 	maxWriteTime = 5 * time.Millisecond
 )
 
-// eventPace measures the pauses between the events of a stream as the target writes them.
-type eventPace struct {
+// Pace measures the pauses between the events of a stream as the target writes them.
+type Pace struct {
 	samples [paceSamples]time.Duration
 	n       int
 	// lastAt is when events were last read, and begunAt when the first pause of the samples
 	// began.
 	lastAt, begunAt time.Time
-	// garbled says that something else than events came.
-	garbled bool
+	// broken says that something else than events came, after which nothing counts.
+	broken bool
 }
 
-// read records events that were read at a time. It returns the median pause when there are enough
-// samples, and whether these were the first events.
-func (p *eventPace) read(events []byte, now time.Time) (pause time.Duration, first bool) {
-	if p.garbled || !wellFormed(events) {
-		p.garbled = true
+// Read records that a number of events were read at a time. It returns the median pause when there
+// are enough samples, otherwise 0, and whether these were the first events.
+func (p *Pace) Read(events int, now time.Time) (pause time.Duration, first bool) {
+	if p.broken {
 		return 0, false
 	}
-	first = p.lastAt.IsZero() && p.begunAt.IsZero()
+	first = p.begunAt.IsZero()
 	if !p.lastAt.IsZero() {
-		p.add(now.Sub(p.lastAt) / time.Duration(max(bytes.Count(events, eventEnd), 1)))
+		p.add(now.Sub(p.lastAt) / time.Duration(max(events, 1)))
 	}
 	if p.n == 0 {
 		p.begunAt = now
 	}
 	p.lastAt = now
-	if p.n < paceSamples && (p.n < minPaceSamples || now.Sub(p.begunAt) < maxPaceTime) {
+	if p.n < minPaceSamples || p.n < paceSamples && now.Sub(p.begunAt) < maxPaceTime {
 		return 0, first
 	}
 	pause = p.median()
@@ -55,7 +53,7 @@
 	return pause, false
 }
 
-func (p *eventPace) add(pause time.Duration) {
+func (p *Pace) add(pause time.Duration) {
 	if pause >= minPauseSample {
 		p.samples[p.n] = pause
 		p.n++
@@ -63,29 +61,20 @@
 }
 
 // median returns the lower median of the samples.
-func (p *eventPace) median() time.Duration {
+func (p *Pace) median() time.Duration {
 	some := p.samples[:p.n]
 	slices.Sort(some)
 	return some[(len(some)-1)/2]
 }
 
-// written records that the events were written to the caller. If that took long, the target's
-// next events had to wait, and the samples are dropped.
-func (p *eventPace) written(now time.Time) {
+// Written records that the events were written to the caller. If that took long, the target's
+// next events had to wait for the caller, and the samples are dropped.
+func (p *Pace) Written(now time.Time) {
 	if now.Sub(p.lastAt) > maxWriteTime {
 		p.n = 0
 		p.lastAt = time.Time{}
 	}
 }
 
-// wellFormed reports whether each line of events has a field or is a comment.
-func wellFormed(events []byte) bool {
-	for len(events) > 0 {
-		line, rest, _ := bytes.Cut(events, []byte("\n"))
-		if len(line) > 0 && bytes.IndexByte(line, ':') < 0 {
-			return false
-		}
-		events = rest
-	}
-	return true
-}
+// Break ends the measurement, as what the target writes are no events.
+func (p *Pace) Break() { p.broken = true }
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -18,6 +18,7 @@
     measure fleet     [flags]   measures a fleet of the present size, as processes
     measure gateway   [flags]   measures a router process on a fake of the platform
     measure admission [flags]   compares policies for rejecting requests, on a fake clock
+    measure capacity  [flags]   compares ways to find out the speed of engines, on a fake clock
 
 `
 
@@ -38,6 +39,8 @@
 		err = runSlopes(flags, os.Args[2:])
 	case "admission":
 		err = runAdmission(flags, os.Args[2:])
+	case "capacity":
+		err = runCapacity(flags, os.Args[2:])
 	case "gateway":
 		err = runGateway(flags, os.Args[2:])
 	case "path":
--- a/cmd/router/gateway/observe_capacity.go
+++ b/cmd/router/gateway/observe_capacity.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"net/http"
 	"time"
 
@@ -19,7 +20,7 @@
 	upstream *upstream
 	// before is the load of the target without the request.
 	before fitting.Load
-	pace   eventPace
+	pace   capacity.Pace
 }
 
 // capacityKey returns the key of the target's estimate.
@@ -60,8 +61,12 @@
 	if u == nil {
 		return
 	}
+	if !wellFormed(events) {
+		t.capacity.pace.Break()
+		return
+	}
 	now := t.g.clock.Now()
-	pause, first := t.capacity.pace.read(events, now)
+	pause, first := t.capacity.pace.Read(bytes.Count(events, eventEnd), now)
 	if first {
 		t.observeFirstEvent(now)
 	}
@@ -70,6 +75,18 @@
 	}
 }
 
+// wellFormed reports whether each line of events has a field or is a comment.
+func wellFormed(events []byte) bool {
+	for len(events) > 0 {
+		line, rest, _ := bytes.Cut(events, []byte("\n"))
+		if len(line) > 0 && bytes.IndexByte(line, ':') < 0 {
+			return false
+		}
+		events = rest
+	}
+	return true
+}
+
 // observeFirstEvent records the time to the first event, unless the request may have waited for a
 // slot, or part of the prompt was copied.
 func (t *transaction) observeFirstEvent(now time.Time) {
@@ -101,7 +118,7 @@
 // observeWritten records that the caller has taken the events.
 func (t *transaction) observeWritten() {
 	if t.capacity.upstream != nil {
-		t.capacity.pace.written(t.g.clock.Now())
+		t.capacity.pace.Written(t.g.clock.Now())
 	}
 }
 
