fitting: cost counts expected long pauses and prompts being read

Now a pause counts beyond 300 ms while a prompt is read, prompts ahead count as much as the request's own, and the last third of the slots costs more.

--- a/cmd/measure/capacity_command.go
+++ b/cmd/measure/capacity_command.go
@@ -15,6 +15,7 @@
 	engines := flags.Int("engines", 24, "number of engines")
 	only := flags.String("only", "", "only patterns whose name contains this text")
 	way := flags.String("way", "", "only ways whose name contains this text")
+	load := flags.Float64("load", 1, "factor of the load")
 	_ = flags.Parse(args)
 	if *seeds < 1 || *routers < 1 || *engines < 1 {
 		return fmt.Errorf("capacity: seeds, routers and engines: want 1 or more")
@@ -28,7 +29,7 @@
 			if !strings.Contains(c.Name, *only) || !strings.Contains(w.Name, *way) {
 				continue
 			}
-			o := capacity.Run(d, c.Pattern, w, *seeds)
+			o := capacity.Run(d, c.Pattern.WithLoad(*load), w, *seeds)
 			fmt.Printf("| %s | %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.4f | %.1f |\n",
 				c.Name, w.Name, o.InTime, o.Smooth, o.Good, o.Worst, o.Refused, o.OverLimit, o.Reports)
 		}
--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -22,9 +22,17 @@
 	// requestCost is the delay that a request adds to the others at the engine, in
 	// milliseconds.
 	requestCost = 5
-	// pauseWeight is how much a pause between events counts. At an engine as usual, one more
-	// request makes pauses longer by a seventh of requestCost.
-	pauseWeight = 7
+	// readingFactor is how many times as long the pauses between events are while the engine
+	// reads a prompt in chunks, and smoothPause the pause that callers hardly notice yet. What
+	// a pause is longer counts pauseWeight times.
+	readingFactor = 3
+	smoothPause   = 300 * time.Millisecond
+	pauseWeight   = 30
+	// fullCost is added for each request beyond fullShare of the slots, in milliseconds: the
+	// loads of peers are some time old, and a fast engine that takes more than others is full
+	// before them.
+	fullCost  = 100
+	fullShare = 0.7
 	// noRoomCost is added for an engine that lately had no room, in milliseconds: more than the
 	// prefill of most prompts.
 	noRoomCost = 2000
@@ -139,13 +147,9 @@
 // cost returns the delay that the work causes for all requests at the target, in
 // milliseconds. A copy counts like a prefill, as it isn't free either.
 func cost(w Work, c Candidate, preferred bool) int {
-	rate := float64(prefillRate)
-	if known := c.Estimate.PrefillRate(); known > 0 {
-		rate = known
-	}
-	ms := int(float64(c.Load.prefillTokens)/rate) + loadCost(c)
+	ms := loadCost(c)
 	if !c.Cached && !preferred {
-		ms += int(float64(prefillWeight*w.ReusableTokens()) / rate)
+		ms += c.prefillCost(prefillWeight * w.ReusableTokens())
 	}
 	if c.Limited {
 		ms += limitCost
@@ -156,14 +160,25 @@
 	return ms
 }
 
-// loadCost returns the delay by the requests that run at the target, in milliseconds. Where the
-// pauses between events are known, one request costs as much as before at a target as usual, and
-// a slow target costs more before it has any.
+// prefillCost returns the time to read prompt tokens at the target, in milliseconds.
+func (c Candidate) prefillCost(tokens int) int {
+	if rate := c.Estimate.PrefillRate(); rate > 0 {
+		return int(float64(tokens) / rate)
+	}
+	return tokens / prefillRate
+}
+
+// loadCost returns the delay by the requests that are at the target, in milliseconds. Where the
+// target was observed, it also counts the pauses that the streams there are expected to have while
+// a prompt is read, and that slots may be taken that a router doesn't know of yet.
 func loadCost(c Candidate) int {
 	if !c.Estimate.KnowsPauses() {
-		return int(float64(c.Load.requests*requestCost) * c.Estimate.Slowness())
+		return c.prefillCost(c.Load.prefillTokens) + int(float64(c.Load.requests*requestCost)*c.Estimate.Slowness())
 	}
-	return int(pauseWeight * c.Estimate.Predict(c.Load.requests, 0).Pause / time.Millisecond)
+	ms := c.prefillCost(prefillWeight*c.Load.prefillTokens) + c.Load.requests*requestCost
+	reading := readingFactor * c.Estimate.Predict(c.Load.requests, 0).Pause
+	ms += pauseWeight * int(max(reading-smoothPause, 0)/time.Millisecond)
+	return ms + fullCost*max(c.Load.requests-int(fullShare*float64(c.Target.Slots())), 0)
 }
 
 // compareBool orders false before true.
--- a/lugtest/enginetest/speed_pattern.go
+++ b/lugtest/enginetest/speed_pattern.go
@@ -23,6 +23,15 @@
 	SlowCallers float64
 }
 
+// WithLoad returns the pattern with its load multiplied.
+func (p SpeedPattern) WithLoad(factor float64) SpeedPattern {
+	if p.LoadFactor == 0 {
+		p.LoadFactor = 1
+	}
+	p.LoadFactor *= factor
+	return p
+}
+
 // machine is how fast one simulated machine is.
 type machine struct {
 	pattern SpeedPattern
