--- a/capacity/average.go
+++ b/capacity/average.go
@@ -49,15 +49,20 @@
 	return math.Exp(a.sum / a.weight)
 }
 
-// towards returns the mean at a time, drawn towards what is usual with the weight of one
-// observation, so that it decays to it. A usual of 0 is unknown.
-func (a *average) towards(usual float64, now time.Time, constant time.Duration) float64 {
-	if a.weight <= 0 || usual <= 0 {
-		return usual
+// relative returns the mean at a time as a multiple of what is usual, drawn towards it with the
+// weight of one observation, so that it decays to it.
+func (a *average) relative(usual usualValue, now time.Time, constant time.Duration) float64 {
+	if a.weight <= 0 || usual.value <= 0 {
+		return 1
 	}
 	weight := a.weightAt(now, constant)
-	return math.Exp((weight*a.sum/a.weight + usualWeight*math.Log(usual)) / (weight + usualWeight))
+	return math.Exp(weight * (a.sum/a.weight - usual.log) / (weight + usualWeight))
 }
 
 // usualWeight is the weight of what is usual at the service, in observations.
 const usualWeight = 1
+
+// usualValue is what is usual at a service, with its logarithm; 0 if unknown.
+type usualValue struct{ value, log float64 }
+
+func newUsualValue(v float64) usualValue { return usualValue{value: v, log: math.Log(v)} }
--- a/capacity/change.go
+++ b/capacity/change.go
@@ -29,7 +29,7 @@
 	defer t.mu.Unlock()
 	var out []Change
 	for key, known := range t.targets {
-		known.service.refresh(now)
+		known.service.refresh(now, now.UnixNano())
 		slowness, weight := known.relative(now), known.weight(now)
 		becomesSlow := !known.slow && slowness >= slowFactor && weight >= minSlowWeight
 		if !becomesSlow && (!known.slow || slowness > normalFactor) {
--- a/capacity/report.go
+++ b/capacity/report.go
@@ -74,7 +74,7 @@
 func (t *target) report(key TargetKey, lately time.Duration, now time.Time) (ranked, bool) {
 	r := Report{Target: key, Age: max(now.Sub(t.observedAt), 0), Count: t.ownCount()}
 	observed := !t.observedAt.IsZero() && r.Age <= lately
-	t.service.refresh(now)
+	t.service.refresh(now, now.UnixNano())
 	difference := 0.0
 	if observed {
 		difference = t.difference(now)
@@ -110,7 +110,7 @@
 func (t *target) difference(now time.Time) float64 {
 	out := math.Abs(math.Log(t.relative(now)))
 	for k := range kinds {
-		if usual := t.service.usual[k]; usual > 0 && t.own[k].weight > 0 {
+		if usual := t.service.usual[k].value; usual > 0 && t.own[k].weight > 0 {
 			out = max(out, math.Abs(math.Log(t.own[k].mean()/usual)))
 		}
 	}
@@ -146,5 +146,5 @@
 	if r.SlownessPercent > 0 {
 		t.state(r.SlownessPercent, at)
 	}
-	t.estimatedAt = time.Time{}
+	t.estimatedAt = 0
 }
--- a/capacity/service.go
+++ b/capacity/service.go
@@ -9,10 +9,11 @@
 type service struct {
 	targets []*target
 	// usual is the median of the targets' averages; 0 if none was observed.
-	usual [kinds]float64
+	usual [kinds]usualValue
 	// observed says that something is known.
 	observed   bool
-	computedAt time.Time
+	// computedAt is in nanoseconds of the time of day.
+	computedAt int64
 }
 
 const (
@@ -24,11 +25,11 @@
 )
 
 // refresh computes the medians if they are old.
-func (s *service) refresh(now time.Time) {
-	if age := now.Sub(s.computedAt); age >= 0 && age < usualAge {
+func (s *service) refresh(now time.Time, nanos int64) {
+	if age := nanos - s.computedAt; age >= 0 && age < int64(usualAge) {
 		return
 	}
-	s.computedAt = now
+	s.computedAt = nanos
 	means := make([]float64, 0, len(s.targets))
 	for k := range kinds {
 		means = means[:0]
@@ -38,11 +39,11 @@
 			}
 		}
 		// With few targets observed, what was usual before is the better guess.
-		if len(means) == 0 || s.usual[k] > 0 && 2*len(means) < min(len(s.targets), minMedian) {
+		if len(means) == 0 || s.usual[k].value > 0 && 2*len(means) < min(len(s.targets), minMedian) {
 			continue
 		}
 		slices.Sort(means)
-		s.usual[k] = means[(len(means)-1)/2]
+		s.usual[k] = newUsualValue(means[(len(means)-1)/2])
 		s.observed = true
 	}
 }
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -62,24 +62,25 @@
 func (t *Table) Estimate(key TargetKey, now time.Time) Estimate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.estimate(key, now)
+	return t.estimate(key, now, now.UnixNano())
 }
 
 // estimate returns the estimate of a target. The caller holds mu.
-func (t *Table) estimate(key TargetKey, now time.Time) Estimate {
+func (t *Table) estimate(key TargetKey, now time.Time, nanos int64) Estimate {
 	known, ok := t.targets[key]
 	if !ok {
 		return Estimate{}
 	}
-	known.service.refresh(now)
-	return known.estimateAt(now)
+	known.service.refresh(now, nanos)
+	return known.estimateAt(now, nanos)
 }
 
 // Estimates writes the estimates of targets into out, which has their number.
 func Estimates[K ~uint64](t *Table, keys []K, now time.Time, out []Estimate) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	nanos := now.UnixNano()
 	for i, key := range keys {
-		out[i] = t.estimate(TargetKey(key), now)
+		out[i] = t.estimate(TargetKey(key), now, nanos)
 	}
 }
--- a/capacity/target.go
+++ b/capacity/target.go
@@ -12,6 +12,9 @@
 	// statedConstant is the same for the slowness that a target states: it may be another one
 	// half a second later.
 	statedConstant = 300 * time.Millisecond
+	// forgottenAfter is the number of time constants after which a stated slowness is as good as
+	// gone.
+	forgottenAfter = 8
 	// refusalTime is how long a target counts as without room after a refusal.
 	refusalTime = time.Second
 	// maxSlowness bounds the slowness of a target.
@@ -52,16 +55,18 @@
 	sharedAt time.Time
 	slow     bool
 
-	estimate    Estimate
-	estimatedAt time.Time
+	estimate Estimate
+	// estimatedAt is in nanoseconds of the time of day; 0 if the estimate is out of date.
+	estimatedAt int64
 }
 
 // statedNow returns the slowness that the target stated, which decays to the usual.
 func (t *target) statedNow(now time.Time) float64 {
-	if t.stated <= 0 {
+	age := now.Sub(t.statedAt)
+	if t.stated <= 0 || t.stated == 1 || age > forgottenAfter*statedConstant {
 		return 1
 	}
-	return 1 + (t.stated-1)*decay(now.Sub(t.statedAt), statedConstant)
+	return 1 + (t.stated-1)*decay(age, statedConstant)
 }
 
 // state records the slowness that a target stated at a time, unless a later one is known.
@@ -100,7 +105,7 @@
 		t.state(o.Percent, now)
 		t.ownStated = now
 	}
-	t.estimatedAt = time.Time{}
+	t.estimatedAt = 0
 	return true
 }
 
@@ -113,7 +118,7 @@
 
 // add adds an own observation.
 func (t *target) add(k kind, value float64, now time.Time) {
-	if usual := t.service.usual[k]; usual > 0 {
+	if usual := t.service.usual[k].value; usual > 0 {
 		value = min(max(value, usual/maxOutlier), usual*maxOutlier)
 	}
 	t.all[k].add(value, 1, now, timeConstant)
@@ -128,21 +133,21 @@
 // relative returns how many times as long as usual work takes at the target, without what it
 // stated: by the pauses if they are known, and otherwise by the service times or the prompts.
 func (t *target) relative(now time.Time) float64 {
-	for _, k := range []kind{idlePause, serviceTime, tokenTime} {
-		usual := t.service.usual[k]
-		if usual > 0 && t.all[k].weight > 0 {
-			return min(max(t.all[k].towards(usual, now, timeConstant)/usual, 1./maxSlowness), maxSlowness)
+	for _, k := range [...]kind{idlePause, serviceTime, tokenTime} {
+		if usual := t.service.usual[k]; usual.value > 0 && t.all[k].weight > 0 {
+			return min(max(t.all[k].relative(usual, now, timeConstant), 1./maxSlowness), maxSlowness)
 		}
 	}
 	return 1
 }
 
-// estimateAt returns the estimate at a time.
-func (t *target) estimateAt(now time.Time) Estimate {
-	if age := now.Sub(t.estimatedAt); age >= 0 && age < estimateAge {
+// estimateAt returns the estimate at a time, which is given in nanoseconds too: a choice compares it
+// for each of its candidates.
+func (t *target) estimateAt(now time.Time, nanos int64) Estimate {
+	if age := nanos - t.estimatedAt; age >= 0 && age < int64(estimateAge) {
 		return t.estimate
 	}
-	t.estimatedAt = now
+	t.estimatedAt = nanos
 	t.estimate = Estimate{}
 	if t.service.observed {
 		t.estimate = t.compute(now)
@@ -154,20 +159,17 @@
 }
 
 // estimateAge is how long an estimate is used before it is computed anew.
-const estimateAge = 20 * time.Millisecond
+const estimateAge = 50 * time.Millisecond
 
+// compute returns the estimate at a time. Engines are as slow with everything as with what is
+// observed the most.
 func (t *target) compute(now time.Time) Estimate {
-	stated := t.statedNow(now)
-	out := Estimate{slowness: t.relative(now) * stated}
-	if usual := t.service.usual[tokenTime]; usual > 0 {
+	out := Estimate{slowness: t.relative(now) * t.statedNow(now)}
+	if usual := t.service.usual[tokenTime].value; usual > 0 {
 		out.prefillRate = 1 / (usual * out.slowness)
 	}
-	if usual := t.service.usual[idlePause]; usual > 0 {
-		out.idlePause = t.all[idlePause].towards(usual, now, timeConstant) * stated
-	}
-	if usual := t.service.usual[serviceTime]; usual > 0 {
-		out.served = t.all[serviceTime].towards(usual, now, timeConstant) * stated
-	}
+	out.idlePause = t.service.usual[idlePause].value * out.slowness
+	out.served = t.service.usual[serviceTime].value * out.slowness
 	return out
 }
 
--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -88,14 +88,18 @@
 	return slices.DeleteFunc(slices.Clone(left), func(i int) bool { return all[i].Load.requests >= bound })
 }
 
-// choosePreferred selects an engine for a prompt that none is known to have cached.
+// choosePreferred selects an engine for a prompt that none is known to have cached: the least
+// costly one, and of several the first in rendezvous order.
 func choosePreferred(q Request, key uint64, all []Candidate, left, within []int) int {
 	preferred := preferredEngine(key, all, left)
-	return slices.MinFunc(within, func(a, b int) int {
-		return cmp.Or(
-			cmp.Compare(cost(q.Work, all[a], a == preferred), cost(q.Work, all[b], b == preferred)),
-			cmp.Compare(rendezvousScore(key, all[b].Target), rendezvousScore(key, all[a].Target)))
-	})
+	best, least := within[0], cost(q.Work, all[within[0]], within[0] == preferred)
+	for _, i := range within[1:] {
+		ms := cost(q.Work, all[i], i == preferred)
+		if ms < least || ms == least && rendezvousScore(key, all[i].Target) > rendezvousScore(key, all[best].Target) {
+			best, least = i, ms
+		}
+	}
+	return best
 }
 
 // chooseNearCache selects an engine for a prompt that some have cached: the less costly of
--- a/lugtest/enginetest/speed_engine.go
+++ b/lugtest/enginetest/speed_engine.go
@@ -24,7 +24,7 @@
 	firstEventSteps = 5
 	eventSteps      = 8
 	// slowCallerTime is how long a slow caller takes to read an event.
-	slowCallerTime = 2 * time.Second
+	slowCallerTime = 200 * time.Millisecond
 )
 
 // speedEngine is an engine that decodes in steps and reads prompts in chunks between them.
--- a/lugtest/enginetest/speed_pattern.go
+++ b/lugtest/enginetest/speed_pattern.go
@@ -19,7 +19,7 @@
 	SilentEvery, SilentTime   time.Duration
 	// LoadFactor multiplies the rates of all classes; 0 means 1.
 	LoadFactor float64
-	// SlowCallers is the share of callers that take 2 s to read each event.
+	// SlowCallers is the share of callers that take 200 ms to read each event.
 	SlowCallers float64
 }
 
--- a/lugtest/enginetest/speed_simulation.go
+++ b/lugtest/enginetest/speed_simulation.go
@@ -33,7 +33,7 @@
 	// Worst is the lowest share of good requests of a second with enough of them.
 	Worst float64
 	// Reports is the mean number of reports in a datagram.
-	Reports float64
+	Reports            float64
 	bySecond           map[int][2]int
 	datagrams, reports int
 }
