--- a/capacity/change.go
+++ b/capacity/change.go
@@ -52,13 +52,17 @@
 	return max(now.Sub(newest), 0)
 }
 
-// Slowest returns the slowness of the target that counts as slow and is the slowest, without what
-// it states; 1 if none is slow.
-func (t *Table) Slowest(now time.Time) float64 {
+// Slowest returns the slowness of the slowest target of a service that counts as slow, without what
+// it states; 1 if none does.
+func (t *Table) Slowest(service string, now time.Time) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	slowest := 1.0
-	for _, known := range t.targets {
+	s, ok := t.services[service]
+	if !ok {
+		return slowest
+	}
+	for _, known := range s.targets {
 		if known.slow {
 			slowest = max(slowest, known.relative(now))
 		}
--- a/capacity/table_test.go
+++ b/capacity/table_test.go
@@ -68,7 +68,7 @@
 	require.Len(t, changes, 1)
 	require.Equal(t, capacity.TargetKey(1), changes[0].Target)
 	require.True(t, changes[0].Slow)
-	require.Greater(t, table.Slowest(now), 2.)
+	require.Greater(t, table.Slowest("models", now), 2.)
 	require.Empty(t, table.Changes(now), "each change is reported once")
 	now = observe(table, now, 4*time.Second, slowFirst(5))
 	require.InDelta(t, 5, table.Estimate(1, now).Slowness(), 1)
@@ -77,7 +77,7 @@
 	changes = table.Changes(now)
 	require.Len(t, changes, 1)
 	require.False(t, changes[0].Slow)
-	require.InDelta(t, 1, table.Slowest(now), 0)
+	require.InDelta(t, 1, table.Slowest("models", now), 0)
 }
 
 // TestWrongLowEstimate guards against an engine that counts as slow by mistake and gets no request,
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -183,7 +183,6 @@
 	g.peers = newPeers(clock)
 	g.SetSeeds(cfg.Seeds)
 	g.watchers = g.newWatchers()
-	g.registerSlowness()
 	return g
 }
 
--- a/cmd/router/gateway/observe_capacity.go
+++ b/cmd/router/gateway/observe_capacity.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"strconv"
 	"time"
 
 	"vanillalug.example/capacity"
@@ -148,6 +149,7 @@
 func (g *Gateway) setCapacityTargets(usable *upstreamSet) {
 	keys := make(map[string][]capacity.TargetKey, len(usable.byService))
 	for service, upstreams := range usable.byService {
+		g.registerSlowness(service)
 		for _, u := range upstreams {
 			keys[service] = append(keys[service], u.capacityKey())
 		}
@@ -189,17 +191,19 @@
 	}
 }
 
-// registerSlowness makes the metrics have the slowness of the slowest target.
-func (g *Gateway) registerSlowness() {
-	meter.Gauge("target_slowness", func() float64 { return g.capacity.Slowest(g.clock.Now()) })
+// registerSlowness makes the metrics have the slowness of the slowest target of a service.
+func (g *Gateway) registerSlowness(service string) {
+	meter.Gauge("target_slowness{service="+strconv.Quote(service)+"}", func() float64 {
+		return g.capacity.Slowest(service, g.clock.Now())
+	})
 }
 
-// observationsTime returns the time of the observations that a datagram has: that since the peers
-// that get it got one before.
+// observationsTime returns the time of the observations that a datagram has: those since the peers
+// that get it may have got one before.
 func (p *peers) observationsTime() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return shareInterval * time.Duration(p.groups())
+	return p.cycle()
 }
 
 func observationsToProto(reports []capacity.Report) []*peer.TargetObservation {
