--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -73,6 +73,7 @@
 	out.Evacuations = g.evacuationNews(now)
 	out.Limits = limitsToProto(g.limits.OwnReports(g.peers.newsTime(), now))
 	out.Limits = append(out.Limits, coldLimitsToProto(g.limits.OwnColdReports(now))...)
+	out.Observations = observationsToProto(g.capacity.Own(g.peers.observationsTime(), now))
 	for _, p := range g.peers.recentPlacements(now) {
 		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
 	}
@@ -121,6 +122,7 @@
 	g.handleDefects(s.From, s.Defects)
 	g.limits.RecordFromPeer(limitsFromProto(s.Limits), now)
 	g.recordColdReports(s.Limits, now)
+	g.capacity.RecordFromPeer(observationsFromProto(s.Observations), now)
 	reported := peerVersions{
 		address: from, table: s.PlanVersion, registryDigest: s.RegistryDigest, following: s.Following,
 		registry:      vanillalug.NewStoreRevision(s.RegistryEpoch, s.RegistryRevision),
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -186,6 +186,7 @@
 		}
 	}
 	g.upstreams.Store(next)
+	g.setCapacityTargets(next)
 	for incarnation, u := range old.byIncarnation {
 		if next.byIncarnation[incarnation] != u {
 			u.pool.Close()
@@ -204,6 +205,7 @@
 	g.logFailingTargets(now)
 	g.maintainEvacuations(now)
 	g.logCold(now)
+	g.reportSlowTargets(now)
 	upstreams := g.upstreams.Load()
 	g.forgetLimits(g.targetStates.expire(upstreams.byIncarnation, now), now)
 	g.detours.Retain(func(service string) bool { return len(upstreams.byService[service]) > 0 })
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"vanillalug.example/capacity"
 	"vanillalug.example/crew"
 )
 
@@ -12,6 +13,8 @@
 	Load   Load
 	// OwnRequests is the number of requests of this router at the target, which are part of Load.
 	OwnRequests int
+	// Estimate is how much load the target takes well; zero if nothing was observed.
+	Estimate capacity.Estimate
 	// Cached reports that the target probably has the shared prompt in its
 	// cache.
 	Cached bool
--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -21,6 +22,20 @@
 	// requestCost is the delay that a request adds to the others at the engine, in
 	// milliseconds.
 	requestCost = 5
+	// readingFactor is how many times as long the pauses between events are while the engine
+	// reads a prompt in chunks, and smoothPause the pause that callers hardly notice yet. What
+	// a pause is longer counts pauseWeight times.
+	readingFactor = 3
+	smoothPause   = 300 * time.Millisecond
+	pauseWeight   = 30
+	// fullCost is added for each request beyond fullShare of the slots, in milliseconds: the
+	// loads of peers are some time old, and a fast engine that takes more than others is full
+	// before them.
+	fullCost  = 100
+	fullShare = 0.7
+	// noRoomCost is added for an engine that lately had no room, in milliseconds: more than the
+	// prefill of most prompts.
+	noRoomCost = 2000
 	// limitCost is added for an engine that names a limit, in milliseconds, so that it
 	// is left to the requests whose prompt it has cached.
 	limitCost = 50
@@ -73,14 +88,18 @@
 	return slices.DeleteFunc(slices.Clone(left), func(i int) bool { return all[i].Load.requests >= bound })
 }
 
-// choosePreferred selects an engine for a prompt that none is known to have cached.
+// choosePreferred selects an engine for a prompt that none is known to have cached: the least
+// costly one, and of several the first in rendezvous order.
 func choosePreferred(q Request, key uint64, all []Candidate, left, within []int) int {
 	preferred := preferredEngine(key, all, left)
-	return slices.MinFunc(within, func(a, b int) int {
-		return cmp.Or(
-			cmp.Compare(cost(q.Work, all[a], a == preferred), cost(q.Work, all[b], b == preferred)),
-			cmp.Compare(rendezvousScore(key, all[b].Target), rendezvousScore(key, all[a].Target)))
-	})
+	best, least := within[0], cost(q.Work, all[within[0]], within[0] == preferred)
+	for _, i := range within[1:] {
+		ms := cost(q.Work, all[i], i == preferred)
+		if ms < least || ms == least && rendezvousScore(key, all[i].Target) > rendezvousScore(key, all[best].Target) {
+			best, least = i, ms
+		}
+	}
+	return best
 }
 
 // chooseNearCache selects an engine for a prompt that some have cached: the less costly of
@@ -132,9 +151,9 @@
 // cost returns the delay that the work causes for all requests at the target, in
 // milliseconds. A copy counts like a prefill, as it isn't free either.
 func cost(w Work, c Candidate, preferred bool) int {
-	ms := c.Load.prefillTokens/prefillRate + c.Load.requests*requestCost
+	ms := loadCost(c)
 	if !c.Cached && !preferred {
-		ms += prefillWeight * w.ReusableTokens() / prefillRate
+		ms += c.prefillCost(prefillWeight * w.ReusableTokens())
 	}
 	if c.Limited {
 		ms += limitCost
@@ -142,9 +161,33 @@
 	if c.ColdFor > 0 {
 		ms += coldCost(w)
 	}
+	if !c.Estimate.HasRoom(c.Load.requests) {
+		ms += noRoomCost
+	}
 	return ms
 }
 
+// prefillCost returns the time to read prompt tokens at the target, in milliseconds.
+func (c Candidate) prefillCost(tokens int) int {
+	if rate := c.Estimate.PrefillRate(); rate > 0 {
+		return int(float64(tokens) / rate)
+	}
+	return tokens / prefillRate
+}
+
+// loadCost returns the delay by the requests that are at the target, in milliseconds. Where the
+// target was observed, it also counts the pauses that the streams there are expected to have while
+// a prompt is read, and that slots may be taken that a router doesn't know of yet.
+func loadCost(c Candidate) int {
+	if !c.Estimate.KnowsPauses() {
+		return c.prefillCost(c.Load.prefillTokens) + int(float64(c.Load.requests*requestCost)*c.Estimate.Slowness())
+	}
+	ms := c.prefillCost(prefillWeight*c.Load.prefillTokens) + c.Load.requests*requestCost
+	reading := readingFactor * c.Estimate.Predict(c.Load.requests, 0).Pause
+	ms += pauseWeight * int(max(reading-smoothPause, 0)/time.Millisecond)
+	return ms + fullCost*max(c.Load.requests-int(fullShare*float64(c.Target.Slots())), 0)
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
--- a/fitting/choose_least_loaded.go
+++ b/fitting/choose_least_loaded.go
@@ -19,11 +19,11 @@
 	return Chosen{Index: best, Source: NoSource, MaxWait: q.permitWait(all, left, best)}
 }
 
-// engineUtilization returns the requests per slot. Engines below idleUtilization count as idle, so
+// engineUtilization returns the effective utilization. Engines below idleUtilization count as idle, so
 // that those in the same place are preferred among them. A cold engine counts as busier the longer
 // the prompt is.
 func engineUtilization(w Work, c Candidate) float64 {
-	f := utilization(c)
+	f := effectiveUtilization(c)
 	if c.ColdFor > 0 {
 		f += float64(coldCost(w)/requestCost) / float64(max(c.Target.Slots(), 1))
 	}
--- a/fitting/choose_plain.go
+++ b/fitting/choose_plain.go
@@ -30,7 +30,7 @@
 func idleNearby(q Request, all []Candidate, left []int) []int {
 	return slices.DeleteFunc(slices.Clone(left), func(i int) bool {
 		c := all[i]
-		return c.Limited || c.ColdFor > 0 || c.OwnRequests > 0 || utilization(c) >= idleUtilization || distance(q.Place, c) > 0
+		return c.Limited || c.ColdFor > 0 || c.OwnRequests > 0 || !c.idle() || distance(q.Place, c) > 0
 	})
 }
 
@@ -50,9 +50,29 @@
 }
 
 // drawWeight returns the weight of a candidate. This router's own requests, which are known
-// exactly, count more than those of peers.
+// exactly, count more than those of peers, and a slow target gets fewer requests in proportion.
 func drawWeight(c Candidate) float64 {
-	return 1 / ((idleUtilization + math.Max(utilization(c), 0)) * float64(1+max(c.OwnRequests, 0)))
+	load := idleUtilization + math.Max(utilization(c), 0)
+	if !c.Estimate.HasRoom(c.Load.requests) {
+		load++
+	}
+	return 1 / (load * c.Estimate.Slowness() * float64(1+max(c.OwnRequests, 0)))
+}
+
+// idle reports whether a request starts at once at the candidate and doesn't take much longer than
+// elsewhere.
+func (c Candidate) idle() bool { return effectiveUtilization(c) < idleUtilization }
+
+// effectiveUtilization returns the requests per slot, weighted by how slow the target is. A target
+// that is slow counts as loaded before it has any request, as much as one as usual on which the
+// request takes as long; one that lately had no room counts as full.
+func effectiveUtilization(c Candidate) float64 {
+	slowness := c.Estimate.Slowness()
+	f := utilization(c)*slowness + idleUtilization*(slowness-1)
+	if !c.Estimate.HasRoom(c.Load.requests) {
+		f = math.Max(f, 1)
+	}
+	return f
 }
 
 // utilization returns the requests per slot.
