fitting, share: admission by memory, prefill time and fair shares

Requests were refused only for want of slots, so engines were sent prompts that they could read too late only, or had no memory for until the end, and one workspace could take the room of the others.

Loads now have the tokens that requests are expected to need in the KV cache. Engines without room until the request's end are left out; prompts that wait longer than a slot may be waited for are refused; while requests are refused, those of workspaces far above their fair share (package share, fleet-wide by datagrams) wait less. Each refusal names its shortage. Returns are spread over three times the time.

Ruled out: a line of prefill time through the origin takes a target that is slow for any prompt for one short of prefill time (TestBrittleTargetsFallOver).

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -43,6 +43,7 @@
 	switch decision := fitting.Choose(req, candidates).(type) {
 	case fitting.Chosen:
 		t.choice = describeChoice(candidates, decision.Index)
+		t.room = newNeededRoom(req, candidates[decision.Index])
 		t.copyFrom = ""
 		if decision.Source != fitting.NoSource {
 			t.copyFrom = upstreams[decision.Source].target.Address()
@@ -52,9 +53,9 @@
 	case fitting.Paused:
 		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "targets want no requests", retryAfter: decision.RetryAfter}
 	case fitting.Overloaded:
-		t.g.overloads.Rejected(t.service, now)
-		t.detail = fmt.Sprintf("pace=%s left=%s goal=%s crowded=%s total=%d of=%d",
-			req.ServiceTime, req.TimeLeft, req.Objective, req.OverloadedFor, totalRequests(candidates), len(candidates))
+		t.recordRefusal(decision.Shortage, now)
+		t.detail = fmt.Sprintf("shortage=%s overuse=%.1f tokens=%d pace=%s left=%s goal=%s crowded=%s total=%d of=%d",
+			decision.Shortage, req.Overuse, req.Work.KVTokens(false), req.ServiceTime, req.TimeLeft, req.Objective, req.OverloadedFor, totalRequests(candidates), len(candidates))
 		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: decision.RetryAfter}
 	}
 	return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: overloadRetryAfter}
@@ -96,7 +97,10 @@
 	if s, ok := t.table.Service(t.service); ok && s.Engine() != nil {
 		req.Slots = s.Engine().Slots()
 		req.CopyRate = s.Engine().CopyRate()
+		req.KVCapacity = s.Engine().KVCapacity()
 	}
+	req.PrefillTime = t.g.prefillTimes.PerThousand(t.service)
+	req.Overuse = t.overuse(now)
 	return req
 }
 
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"vanillalug.example/platform"
 	"vanillalug.example/quota"
 	"vanillalug.example/schedule"
+	"vanillalug.example/share"
 )
 
 // Config holds the settings of a Gateway.
@@ -58,6 +59,9 @@
 	cacheIndex   *fitting.CacheIndex
 	serviceTimes *fitting.ServiceTimes
 	overloads    *fitting.OverloadTracker
+	prefillTimes *fitting.PrefillTimes
+	// usage is what workspaces used lately of each service, at all routers.
+	usage *share.Table
 	// failureReports are failures at targets, seen by this router or its peers.
 	failureReports *fitting.FailureReports
 	// defects has the parts of prompts that crash targets.
@@ -160,6 +164,8 @@
 		cacheIndex:       fitting.NewCacheIndex(),
 		serviceTimes:     fitting.NewServiceTimes(),
 		overloads:        fitting.NewOverloadTracker(),
+		prefillTimes:     fitting.NewPrefillTimes(),
+		usage:            share.NewTable(),
 		failureReports:   fitting.NewFailureReports(),
 		defects:          defect.NewTracker(),
 		failing:          map[string]bool{},
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -64,11 +64,13 @@
 	for key, l := range own {
 		out.Loads = append(out.Loads, &peer.TargetLoad{
 			Target: uint64(key), Requests: uint32(max(l.Requests(), 0)), Unread: uint32(max(l.PrefillTokens(), 0)),
+			KvTokens: kvTokensToProto(l),
 		})
 	}
 	for _, key := range g.failureReports.Own(now) {
 		out.Failing = append(out.Failing, uint64(key))
 	}
+	out.Usage = usageToProto(g.usage.Own(now))
 	out.Defects = defectsToProto(g.defects.Reports(now))
 	out.Limits = limitsToProto(g.limits.OwnReports(g.peers.newsTime(), now))
 	for _, p := range g.peers.recentPlacements(now) {
@@ -103,7 +105,7 @@
 func (g *Gateway) handleShare(s *peer.Share, from netip.AddrPort) {
 	loads := make(map[fitting.Key]fitting.Load, len(s.Loads))
 	for _, l := range s.Loads {
-		loads[fitting.Key(l.Target)] = fitting.NewLoad(int(l.Requests), int(l.Unread))
+		loads[fitting.Key(l.Target)] = fitting.NewLoad(int(l.Requests), int(l.Unread)).WithKVTokens(int(l.KvTokens))
 	}
 	now := g.clock.Now()
 	g.loads.SetPeer(s.From, loads, now)
@@ -115,6 +117,7 @@
 		failing[i] = fitting.Key(k)
 	}
 	g.failureReports.RecordFromPeer(s.From, failing, now)
+	g.usage.RecordFromPeer(s.From, usageFromProto(s.Usage), now)
 	g.handleDefects(s.From, s.Defects)
 	g.limits.RecordFromPeer(limitsFromProto(s.Limits), now)
 	reported := peerVersions{
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -76,6 +76,8 @@
 	responseStarted bool
 	// completed says that a target completed the request.
 	completed bool
+	// room is what the request needs at the chosen target.
+	room neededRoom
 	// target, software, choice and detail are logged: the target of the last attempt with
 	// its software version, the reasons for choosing it, and details of a failure.
 	target   string
@@ -154,7 +156,8 @@
 	t.target = u.target.Incarnation()
 	t.software = u.target.SoftwareVersion()
 	prefillTokens := t.req.Work().PromptTokens()
-	t.g.loads.Add(u.key, 1, prefillTokens)
+	load := t.occupyRoom(prefillTokens)
+	t.g.loads.AddLoad(u.key, load)
 	t.recordPlacement(u)
 	prefillDone := false
 	onFirstEvent := func() {
@@ -166,7 +169,7 @@
 	defer func() {
 		onFirstEvent()
 		t.releasePlace()
-		t.g.loads.Add(u.key, -1, 0)
+		t.g.loads.AddLoad(u.key, t.room.load.Negative())
 		if t.completed {
 			t.g.serviceTimes.Observe(t.service, t.g.clock.Now().Sub(t.sentAt))
 		}
@@ -183,7 +186,7 @@
 		return t.handleNoResponse(ctx, u, o)
 	case responded:
 		t.g.defects.RecordAlive(defect.TargetKey(u.key), t.sentAt)
-		return t.handleResponse(ctx, u, o, onFirstEvent)
+		return t.handleResponse(ctx, u, o, func() { t.observePrefill(); onFirstEvent() })
 	}
 	return false
 }
--- a/fitting/admission.go
+++ b/fitting/admission.go
@@ -18,26 +18,50 @@
 	// maxRetryAfterDivisor bounds the retry-after time: callers honor at most
 	// their remaining time divided by it.
 	maxRetryAfterDivisor = 3
+	// returnSpread is the largest part of the retry-after time that is added at random.
+	returnSpread = 2
 	// overloadDivisor derives the retry-after time from the duration of the
 	// overload so far.
 	overloadDivisor = 2
 )
 
-// rejectOverload rejects a request that would start too late, such as in a burst
-// or after half of the targets are lost. Less urgent requests are rejected
-// first, so that the others are served in time. A longer queue would not keep
-// any target busier.
-func rejectOverload(q Request, all []Candidate, left []int) (Overloaded, bool) {
-	shortest := slices.MinFunc(left, func(a, b int) int { return cmp.Compare(queueLength(q, all[a]), queueLength(q, all[b])) })
-	queued, slots := queueLength(q, all[shortest]), q.slotsOf(all[shortest])
+// admit returns the candidates that the request may be sent to, or what there is too little of.
+// A request that would start too late is rejected, such as in a burst or after half of the
+// targets are lost. Less urgent requests are rejected first, so that the others are served in
+// time, and then those of workspaces far above their fair share. A longer queue would not keep any
+// target busier.
+func admit(q Request, all []Candidate, left []int) ([]int, Shortage) {
+	fits, shortage := withMemory(q, all, left)
+	if shortage != NoShortage {
+		return left, shortage
+	}
+	if shortage := q.slotShortage(all, fits); shortage != NoShortage {
+		return left, shortage
+	}
+	return withPrefill(q, all, fits)
+}
+
+// slotShortage tells whether the request would wait too long for a slot.
+func (q Request) slotShortage(all []Candidate, left []int) Shortage {
+	queued, slots := q.shortestQueue(all, left)
 	if queued <= 0 || slots == 0 {
-		return Overloaded{}, false
+		return NoShortage
 	}
 	wait := q.ServiceTime * time.Duration(queued) / time.Duration(slots)
-	if wait <= q.maxWait() && queued <= maxQueueFactor*slots {
-		return Overloaded{}, false
+	switch {
+	case queued > maxQueueFactor*slots || wait > q.maxWait():
+		return SlotShortage
+	case wait > q.fairWait():
+		return ShareShortage
 	}
-	return Overloaded{RetryAfter: q.retryAfter(wait)}, true
+	return NoShortage
+}
+
+// shortestQueue returns how many requests would wait for a slot at the candidate with the fewest,
+// and its slots.
+func (q Request) shortestQueue(all []Candidate, left []int) (queued, slots int) {
+	shortest := slices.MinFunc(left, func(a, b int) int { return cmp.Compare(queueLength(q, all[a]), queueLength(q, all[b])) })
+	return queueLength(q, all[shortest]), q.slotsOf(all[shortest])
 }
 
 // maxWait returns how long the request may wait for a slot. It falls with the
@@ -60,6 +84,27 @@
 	return jitter(min(max(wait/2, q.OverloadedFor/overloadDivisor, minRetryAfter), longest), q.Random)
 }
 
+// returnTime returns the time after which a rejected caller may retry: when the request is likely
+// to have room, and up to three times later, as callers that were rejected together would
+// otherwise come back together.
+func (q Request) returnTime(all []Candidate, left []int, shortage Shortage) time.Duration {
+	queued, slots := q.shortestQueue(all, left)
+	wait := q.ServiceTime * time.Duration(max(queued, 0)) / time.Duration(max(slots, 1))
+	switch shortage {
+	case MemoryShortage:
+		wait = max(wait, q.memoryWait(all, left))
+	case PrefillShortage, ShareShortage:
+		wait = max(wait, q.shortestPrefill(all, left))
+	case NoShortage, SlotShortage:
+	}
+	base := q.retryAfter(wait)
+	spread := min(returnSpread*base, max(q.TimeLeft/maxRetryAfterDivisor, minRetryAfter)-base)
+	if spread <= 0 {
+		return base
+	}
+	return base + time.Duration(mix(q.Random^drawStep)%uint64(spread))
+}
+
 // queueLength returns how many requests would wait for a slot, including this
 // one. It is negative while slots are free.
 func queueLength(q Request, c Candidate) int { return c.Load.requests + 1 - q.slotsOf(c) }
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -32,12 +32,19 @@
 	Place string
 	// Slots is the batch size of a model engine; 0 for plain services.
 	Slots int
+	// KVCapacity is the size of an engine's KV cache in tokens; 0 if unknown.
+	KVCapacity int
+	// Overuse is what the workspace used lately of the service, as a multiple of its fair share;
+	// 0 if unknown.
+	Overuse float64
 	// CopyRate is the rate at which an engine copies a cached prompt from another
 	// one, in prompt tokens per millisecond; 0 means that it can't.
 	CopyRate int
 	// ServiceTime is the mean time that a request spends at a target; 0 if
 	// unknown.
 	ServiceTime time.Duration
+	// PrefillTime is the time that a thousand prompt tokens at an engine take; 0 if unknown.
+	PrefillTime time.Duration
 	// TimeLeft is the time until the caller's deadline.
 	TimeLeft time.Duration
 	// Objective is the latency objective for the start of the response; 0 if
@@ -69,7 +76,11 @@
 
 // Overloaded rejects the request, as no target can start it in time. The caller
 // may retry after the given time.
-type Overloaded struct{ RetryAfter time.Duration }
+type Overloaded struct {
+	RetryAfter time.Duration
+	// Shortage is what there is too little of.
+	Shortage Shortage
+}
 
 // Paused rejects the request, as every target that it was not sent to wants no
 // requests for now or is at its limit. The caller may retry after the given time.
@@ -99,8 +110,9 @@
 		}
 		return NoTarget{}
 	}
-	if full, ok := rejectOverload(q, all, left); ok {
-		return full
+	left, shortage := admit(q, all, left)
+	if shortage != NoShortage {
+		return Overloaded{RetryAfter: q.returnTime(all, left, shortage), Shortage: shortage}
 	}
 	if key, ok := q.Work.PromptKey(); ok && q.Slots > 0 {
 		return chooseEngine(q, key, all, left)
--- a/fitting/load_table.go
+++ b/fitting/load_table.go
@@ -37,9 +37,14 @@
 
 // Add adds to this router's own load of a target; negative numbers subtract.
 func (t *LoadTable) Add(k Key, requests, prefillTokens int) {
+	t.AddLoad(k, NewLoad(requests, prefillTokens))
+}
+
+// AddLoad adds to this router's own load of a target.
+func (t *LoadTable) AddLoad(k Key, l Load) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	addLoad(t.own, k, NewLoad(requests, prefillTokens))
+	addLoad(t.own, k, l)
 }
 
 func addLoad(loads map[Key]Load, k Key, l Load) {
--- a/fitting/work.go
+++ b/fitting/work.go
@@ -15,12 +15,17 @@
 // Tokens returns the length in tokens.
 func (p Part) Tokens() int { return p.tokens }
 
+// maxKVTokens bounds what callers state of a request, so that sums don't overflow.
+const maxKVTokens = 1 << 28
+
 // Work describes what a request demands of a model engine.
 type Work struct {
 	model        string
 	parts        []Part
 	promptTokens int
 	outputTokens int
+	// lengthHint is the caller's estimate of the output tokens; 0 if it gave none.
+	lengthHint int
 }
 
 // NewWork returns the work of a request with a prompt, made of parts, and at
@@ -30,6 +35,13 @@
 	return Work{model: model, parts: parts, promptTokens: promptTokens, outputTokens: outputTokens}
 }
 
+// WithLengthHint returns the work with the caller's estimate of the output tokens; 0 or less
+// means that there is none.
+func (w Work) WithLengthHint(tokens int) Work {
+	w.lengthHint = max(tokens, 0)
+	return w
+}
+
 // Model returns the model.
 func (w Work) Model() string { return w.model }
 
@@ -42,6 +54,31 @@
 // OutputTokens returns the maximum number of output tokens.
 func (w Work) OutputTokens() int { return w.outputTokens }
 
+// ExpectedOutput returns the expected number of output tokens: the caller's estimate, at most
+// the maximum, or the maximum without an estimate.
+func (w Work) ExpectedOutput() int {
+	if w.lengthHint > 0 && (w.outputTokens == 0 || w.lengthHint < w.outputTokens) {
+		return w.lengthHint
+	}
+	return w.outputTokens
+}
+
+// KVTokens returns the tokens that the request is expected to need in the KV cache of an engine
+// until it ends, without the shared parts if the engine has them cached; 0 if the length of
+// the prompt is unknown.
+func (w Work) KVTokens(cached bool) int {
+	if w.promptTokens <= 0 {
+		return 0
+	}
+	own := w.promptTokens
+	if cached {
+		for _, p := range w.SharedParts() {
+			own -= p.tokens
+		}
+	}
+	return min(max(own, 0), maxKVTokens) + min(w.ExpectedOutput(), maxKVTokens)
+}
+
 // ReusableTokens returns the length of the longest part that requests share. The
 // parts before it are shared by more requests and cached nearly everywhere.
 func (w Work) ReusableTokens() int {
--- a/lugtest/enginetest/caller.go
+++ b/lugtest/enginetest/caller.go
@@ -13,6 +13,9 @@
 	prompt  uint64
 	start   time.Duration
 	retries int
+	// workspace is its number, output the length of the response and hint the caller's estimate
+	// of it, or 0.
+	workspace, output, hint int
 }
 
 func (q *request) timeLeft(now time.Duration) time.Duration { return q.class.Timeout - (now - q.start) }
@@ -24,11 +27,15 @@
 	router := s.routers[s.random.IntN(len(s.routers))]
 	work := fitting.NewWork(model, []fitting.Part{
 		fitting.NewPart(q.prompt, c.SharedTokens), fitting.NewPart(s.random.Uint64(), c.OwnTokens),
-	}, c.SharedTokens+c.OwnTokens, c.OutputTokens)
+	}, c.SharedTokens+c.OwnTokens, s.maxOutput(q)).WithLengthHint(q.hint)
 	req := fitting.Request{
 		Work: work, Slots: s.deployment.Slots, CopyRate: s.deployment.CopyRate, ServiceTime: router.serviceTimes.Mean(service),
 		TimeLeft: q.timeLeft(s.now), Objective: c.FirstTokenGoal, OverloadedFor: router.overload.Duration(service, s.clockTime()),
-		Priority: q.rank, Random: s.random.Uint64(),
+		Priority: q.rank, Random: s.random.Uint64(), PrefillTime: router.prefillTimes.PerThousand(service),
+		Overuse: router.usage.Overuse(workspaceKey(q.workspace), usageKey, s.clockTime()),
+	}
+	if !s.deployment.Memory.UnknownLoads {
+		req.KVCapacity = s.deployment.Memory.Tokens
 	}
 	engines, candidates := s.candidates(router, work)
 	retryAfter := shedRetryAfter
@@ -36,21 +43,26 @@
 	case fitting.Chosen:
 		j := &job{
 			class: c, rank: q.rank, router: router, prompt: q.prompt, prefillTokens: c.SharedTokens + c.OwnTokens,
-			start: q.start, sent: s.now,
+			start: q.start, sent: s.now, request: q, output: q.output, remaining: q.output,
+			ahead: candidates[v.Index].Load,
+			load:  fitting.NewLoad(1, 0).WithKVTokens(work.KVTokens(candidates[v.Index].Cached)),
 		}
 		if v.Source != fitting.NoSource {
 			j.source = engines[v.Source]
 		}
 		if s.send(engines[v.Index], j, work) {
+			router.usage.Record(workspaceKey(q.workspace), usageKey, req.Cost(), s.clockTime())
 			return
 		}
 	case fitting.Overloaded:
 		router.overload.Rejected(service, s.clockTime())
+		s.result.Shortages[v.Shortage]++
 		retryAfter = v.RetryAfter
 	}
 	left := q.timeLeft(s.now)
-	if q.retries >= maxRetries || left <= 0 {
+	if q.retries >= max(s.deployment.Retries, 1) || left <= 0 {
 		s.result.Rejected++
+		s.recordOutcome(q, Rejected)
 		return
 	}
 	q.retries++
@@ -82,7 +94,8 @@
 	if !s.enqueue(e, j) {
 		return false
 	}
-	j.router.loads.Add(e.key, 1, j.prefillTokens)
+	j.router.loads.AddLoad(e.key, j.load)
+	j.router.loads.Add(e.key, 0, j.prefillTokens)
 	key, _ := work.PromptKey()
 	placement := fitting.Placement{Prompt: key, Target: e.key}
 	if j.router.cacheIndex.Record(placement, s.clockTime()) {
@@ -122,6 +135,9 @@
 		return
 	}
 	j.hasFirstToken = true
+	if j.ahead.Requests() < s.deployment.Slots {
+		j.router.prefillTimes.Observe(service, j.ahead.PrefillTokens()+j.prefillTokens, s.now-j.sent)
+	}
 	j.router.loads.Add(e.key, 0, -j.prefillTokens)
 	j.late = s.now-j.start > j.class.FirstTokenGoal
 	if j.late {
@@ -138,7 +154,12 @@
 		return
 	}
 	j.done = true
-	j.router.loads.Add(e.key, -1, 0)
+	j.router.loads.AddLoad(e.key, j.load.Negative())
+	outcome := InTime
+	if j.late {
+		outcome = Late
+	}
+	s.recordOutcome(j.request, outcome)
 	j.router.serviceTimes.Observe(service, s.now-j.sent)
 	j.router.policy.Observe(s.now - j.sent)
 	s.release(e, j)
@@ -151,12 +172,13 @@
 	}
 	j.done = true
 	s.result.Expired++
+	s.recordOutcome(j.request, Expired)
 	if j.hasFirstToken {
 		s.undoFirstToken(j)
 	} else {
 		j.router.loads.Add(e.key, 0, -j.prefillTokens)
 	}
-	j.router.loads.Add(e.key, -1, 0)
+	j.router.loads.AddLoad(e.key, j.load.Negative())
 	s.release(e, j)
 }
 
--- a/lugtest/enginetest/deployment.go
+++ b/lugtest/enginetest/deployment.go
@@ -18,6 +18,8 @@
 	// disconnect if it has not arrived within FirstTokenTimeout, or the whole
 	// response within Timeout.
 	FirstTokenGoal, FirstTokenTimeout, Timeout time.Duration
+	// Rank is the priority rank in a deployment without Ranks.
+	Rank int
 }
 
 // Deployment describes the simulated routers, engines and load.
@@ -33,9 +35,16 @@
 	Step, StepPerSlot time.Duration
 	// PrefillRate and CopyRate are in tokens per millisecond.
 	PrefillRate, CopyRate int
-	// Ranks is the number of priority ranks; 0 is the most urgent.
+	// Ranks is the number of priority ranks, which requests have at random; 0 is the most
+	// urgent. Without it they have the rank of their class.
 	Ranks   int
 	Classes []Class
+	// Memory is the memory of an engine; the zero value is without limit.
+	Memory Memory
+	// Workspaces is the number of workspaces, which send the same; 0 means 1.
+	Workspaces int
+	// Retries is how often a caller retries a rejected request; 0 means 1.
+	Retries int
 }
 
 // loadTTL returns the time in which a router gets two messages from each peer, and a
@@ -63,6 +72,14 @@
 	// SlowEngines is how many engines take four times as long in the middle
 	// third.
 	SlowEngines int
+	// SurgeTime is how long the surge lasts; 0 means for a third of the time.
+	SurgeTime time.Duration
+	// HotWorkspaceFactor multiplies the rate of one workspace from a third of the time on, for
+	// HotWorkspaceTime; 0 means 1.
+	HotWorkspaceFactor float64
+	HotWorkspaceTime   time.Duration
+	// SurgingClass limits the surge to one class; "" means all.
+	SurgingClass string
 }
 
 // SmallDeployment has the size of the users' smaller deployments.
@@ -72,9 +89,18 @@
 		Step: 3790 * time.Microsecond, StepPerSlot: 89300 * time.Nanosecond,
 		PrefillRate: 56, CopyRate: 1220, Ranks: 3,
 		Classes: []Class{
-			{"long", 13.5, 10512, 1300, 30, 380, time.Second, 4800 * time.Millisecond, 15 * time.Second},
-			{"answer", 21.3, 699, 130, 30, 290, time.Second, 4800 * time.Millisecond, 15 * time.Second},
-			{"short", 19.5, 2041, 360, 30, 25, 2 * time.Second, 3 * time.Second, 3 * time.Second},
+			{
+				Name: "long", Rate: 13.5, SharedTokens: 10512, OwnTokens: 1300, SharedPrompts: 30, OutputTokens: 380,
+				FirstTokenGoal: time.Second, FirstTokenTimeout: 4800 * time.Millisecond, Timeout: 15 * time.Second,
+			},
+			{
+				Name: "answer", Rate: 21.3, SharedTokens: 699, OwnTokens: 130, SharedPrompts: 30, OutputTokens: 290,
+				FirstTokenGoal: time.Second, FirstTokenTimeout: 4800 * time.Millisecond, Timeout: 15 * time.Second,
+			},
+			{
+				Name: "short", Rate: 19.5, SharedTokens: 2041, OwnTokens: 360, SharedPrompts: 30, OutputTokens: 25,
+				FirstTokenGoal: 2 * time.Second, FirstTokenTimeout: 3 * time.Second, Timeout: 3 * time.Second,
+			},
 		},
 	}
 }
@@ -87,9 +113,18 @@
 		Step: 3790 * time.Microsecond, StepPerSlot: 89300 * time.Nanosecond,
 		PrefillRate: 56, CopyRate: 1220, Ranks: 3,
 		Classes: []Class{
-			{"long", 132, 10512, 1300, 300, 385, 800 * time.Millisecond, 4800 * time.Millisecond, 12 * time.Second},
-			{"answer", 126, 699, 130, 300, 294, time.Second, 4800 * time.Millisecond, 10 * time.Second},
-			{"short", 235, 2041, 360, 300, 21, 1500 * time.Millisecond, 3 * time.Second, 3 * time.Second},
+			{
+				Name: "long", Rate: 132, SharedTokens: 10512, OwnTokens: 1300, SharedPrompts: 300, OutputTokens: 385,
+				FirstTokenGoal: 800 * time.Millisecond, FirstTokenTimeout: 4800 * time.Millisecond, Timeout: 12 * time.Second,
+			},
+			{
+				Name: "answer", Rate: 126, SharedTokens: 699, OwnTokens: 130, SharedPrompts: 300, OutputTokens: 294,
+				FirstTokenGoal: time.Second, FirstTokenTimeout: 4800 * time.Millisecond, Timeout: 10 * time.Second,
+			},
+			{
+				Name: "short", Rate: 235, SharedTokens: 2041, OwnTokens: 360, SharedPrompts: 300, OutputTokens: 21,
+				FirstTokenGoal: 1500 * time.Millisecond, FirstTokenTimeout: 3 * time.Second, Timeout: 3 * time.Second,
+			},
 		},
 	}
 }
--- a/lugtest/enginetest/engine.go
+++ b/lugtest/enginetest/engine.go
@@ -26,8 +26,12 @@
 	// prefilledAt is when the prompts in flight are prefilled.
 	prefilledAt time.Duration
 	cached      map[uint64]bool
-	lost        bool
-	slow        bool
+	// usedAt is when each cached prompt was used last.
+	usedAt map[uint64]time.Duration
+	// jobs are the running ones.
+	jobs []*job
+	lost bool
+	slow bool
 }
 
 // job is one attempt of a request at an engine.
@@ -47,6 +51,18 @@
 	hasFirstToken, late, done bool
 	// hasSlot means that the job is running, not queued.
 	hasSlot bool
+	request *request
+	// ahead is the load of its engine that its router knew of.
+	ahead fitting.Load
+	// load is what the job adds to the load of its engine.
+	load fitting.Load
+	// output is the length of the response, remaining what the engine has yet to generate after
+	// the last start of the job. The first and the last token of that come at firstAt and endAt.
+	output, remaining         int
+	startedAt, firstAt, endAt time.Duration
+	// generation counts the starts, pausedAt is when a stream was preempted.
+	generation int
+	pausedAt   time.Duration
 }
 
 func (e *engine) load() int { return e.running + len(e.queue) }
@@ -54,7 +70,7 @@
 // enqueue starts a job or queues it by its rank. It returns false if the queue
 // is full.
 func (s *simulation) enqueue(e *engine, j *job) bool {
-	if e.running < s.deployment.Slots {
+	if e.running < s.deployment.Slots && s.hasMemory(e, j) {
 		s.startJob(e, j)
 		return true
 	}
@@ -79,19 +95,32 @@
 	e.prefilledAt = max(e.prefilledAt, s.now) + prefill
 	step := s.deployment.Step + time.Duration(e.running)*s.deployment.StepPerSlot
 	first := e.prefilledAt + firstTokenDelay - s.now
-	total := first + time.Duration(j.class.OutputTokens)*step
+	total := first + time.Duration(j.remaining)*step
 	if e.slow {
 		first *= slowFactor
 		total *= slowFactor
 	}
-	s.after(first, func() { s.handleFirstToken(e, j) })
-	s.after(total, func() { s.finish(e, j) })
+	e.jobs = append(e.jobs, j)
+	e.usedAt[j.prompt] = s.now
+	j.startedAt, j.firstAt, j.endAt = s.now, s.now+first, s.now+total
+	generation := j.generation
+	s.after(first, func() {
+		if generation == j.generation {
+			s.endPause(j)
+			s.handleFirstToken(e, j)
+		}
+	})
+	s.after(total, func() {
+		if generation == j.generation {
+			s.finish(e, j)
+		}
+	})
 }
 
 // prefillTime returns how long it takes to prefill or copy the prompt. It counts
 // the tokens that are prefilled although some engine has them cached.
 func (s *simulation) prefillTime(e *engine, j *job) time.Duration {
-	tokens := j.class.OwnTokens
+	tokens := j.class.OwnTokens + j.output - j.remaining
 	var extra time.Duration
 	switch {
 	case e.cached[j.prompt]:
@@ -114,7 +143,13 @@
 		return
 	}
 	e.running--
-	if len(e.queue) > 0 && e.running < s.deployment.Slots {
+	e.leave(j)
+	s.startQueued(e)
+}
+
+// startQueued starts queued jobs in order while there is room.
+func (s *simulation) startQueued(e *engine) {
+	for len(e.queue) > 0 && e.running < s.deployment.Slots && s.hasMemory(e, e.queue[0]) {
 		next := e.queue[0]
 		e.queue = e.queue[1:]
 		s.startJob(e, next)
--- a/lugtest/enginetest/policy.go
+++ b/lugtest/enginetest/policy.go
@@ -30,11 +30,26 @@
 // CostBased returns the policy of the router.
 func CostBased() Policy { return PolicyFunc(fitting.Choose) }
 
+// ByStartOnly returns a policy that rejects only requests that would wait too long for a slot, as
+// the router did before it knew of memory and shares.
+func ByStartOnly() Policy {
+	return PolicyFunc(func(q fitting.Request, all []fitting.Candidate) fitting.Decision {
+		q.KVCapacity, q.Overuse, q.PrefillTime = 0, 0, 0
+		return fitting.Choose(q, all)
+	})
+}
+
+// withoutRoom returns the request without what the router rejects requests by.
+func withoutRoom(q fitting.Request) fitting.Request {
+	q.ServiceTime, q.PrefillTime, q.KVCapacity = 0, 0, 0
+	return q
+}
+
 // Unlimited returns a policy that never rejects; only full queues of engines
 // shed requests.
 func Unlimited() Policy {
 	return PolicyFunc(func(q fitting.Request, all []fitting.Candidate) fitting.Decision {
-		q.ServiceTime = 0
+		q = withoutRoom(q)
 		return fitting.Choose(q, all)
 	})
 }
@@ -45,7 +60,7 @@
 		if minLoad(all) >= q.Slots {
 			return fitting.Overloaded{RetryAfter: shedRetryAfter}
 		}
-		q.ServiceTime = 0
+		q = withoutRoom(q)
 		return fitting.Choose(q, all)
 	})
 }
@@ -72,7 +87,7 @@
 	if minLoad(all) >= int(g.limit) {
 		return fitting.Overloaded{RetryAfter: shedRetryAfter}
 	}
-	q.ServiceTime = 0
+	q = withoutRoom(q)
 	return fitting.Choose(q, all)
 }
 
--- a/lugtest/enginetest/result.go
+++ b/lugtest/enginetest/result.go
@@ -1,6 +1,11 @@
 package enginetest
 
-import "maps"
+import (
+	"maps"
+	"slices"
+
+	"vanillalug.example/fitting"
+)
 
 // Result counts the outcomes of the requests of a simulation.
 type Result struct {
@@ -22,6 +27,12 @@
 	// OverLimit counts sends to an engine with more than twice the mean load
 	// plus three, which is the users' limit.
 	OverLimit int
+	// Preemptions counts the requests that an engine moved back to its queue, Shortages the
+	// rejections by what there was too little of.
+	Preemptions int
+	Shortages   map[fitting.Shortage]int
+	// Outcomes has each request.
+	Outcomes []Outcome
 }
 
 // ServedShare returns the share of requests that were served, in time or late.
@@ -37,6 +48,8 @@
 		Requests: r.Requests + o.Requests, InTime: r.InTime + o.InTime, Late: r.Late + o.Late,
 		Rejected: r.Rejected + o.Rejected, Expired: r.Expired + o.Expired, Sends: r.Sends + o.Sends,
 		ReprefilledTokens: r.ReprefilledTokens + o.ReprefilledTokens, OverLimit: r.OverLimit + o.OverLimit,
+		Preemptions: r.Preemptions + o.Preemptions, Shortages: addCounts(r.Shortages, o.Shortages),
+		Outcomes: slices.Concat(r.Outcomes, o.Outcomes),
 	}
 }
 
@@ -47,8 +60,11 @@
 	return float64(n) / float64(of)
 }
 
-func addCounts(a, b map[int]int) map[int]int {
+func addCounts[K comparable](a, b map[K]int) map[K]int {
 	out := maps.Clone(b)
+	if out == nil {
+		out = map[K]int{}
+	}
 	for k, n := range a {
 		out[k] += n
 	}
--- a/lugtest/enginetest/simulation.go
+++ b/lugtest/enginetest/simulation.go
@@ -7,6 +7,7 @@
 
 	"vanillalug.example/crew"
 	"vanillalug.example/fitting"
+	"vanillalug.example/share"
 )
 
 const (
@@ -20,10 +21,8 @@
 	// maxRetryAfterDivisor bounds the retry-after time: callers honor at most
 	// their remaining time divided by it.
 	maxRetryAfterDivisor = 3
-	// maxRetries is how often a caller retries a rejected request.
-	maxRetries = 1
-	model      = "m"
-	service    = "s"
+	model                = "m"
+	service              = "s"
 )
 
 // router is a simulated router with the state behind its decisions.
@@ -33,6 +32,8 @@
 	cacheIndex   *fitting.CacheIndex
 	serviceTimes *fitting.ServiceTimes
 	overload     *fitting.OverloadTracker
+	usage        *share.Table
+	prefillTimes *fitting.PrefillTimes
 	policy       Policy
 }
 
@@ -53,7 +54,7 @@
 	s := &simulation{
 		deployment: d, pattern: p, random: rand.New(rand.NewPCG(seed, 1)),
 		start:  time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC),
-		result: Result{InTimeByRank: map[int]int{}, RequestsByRank: map[int]int{}},
+		result: Result{InTimeByRank: map[int]int{}, RequestsByRank: map[int]int{}, Shortages: map[fitting.Shortage]int{}},
 	}
 	for range d.Engines {
 		s.addEngine()
@@ -61,11 +62,15 @@
 	for i := range d.Routers {
 		s.routers = append(s.routers, &router{
 			name: "r" + strconv.Itoa(i), loads: fitting.NewLoadTable(), cacheIndex: fitting.NewCacheIndex(),
-			serviceTimes: fitting.NewServiceTimes(), overload: fitting.NewOverloadTracker(), policy: policy(),
+			serviceTimes: fitting.NewServiceTimes(), overload: fitting.NewOverloadTracker(),
+			usage: share.NewTable(), prefillTimes: fitting.NewPrefillTimes(), policy: policy(),
 		})
 		s.after(time.Duration(i)*shareInterval/time.Duration(d.Routers), func() { s.shareLoads(i, i) })
 	}
 	s.scheduleFaults()
+	if d.Memory.Tokens > 0 {
+		s.after(memoryTick, s.preemptAll)
+	}
 	for _, c := range d.Classes {
 		s.after(s.interarrivalTime(c), func() { s.arrive(c) })
 	}
@@ -106,7 +111,7 @@
 func (s *simulation) addEngine() {
 	id := "e" + strconv.Itoa(len(s.engines))
 	t := crew.NewTarget(id, service, "10.0.0.1:1", crew.WithSlots(s.deployment.Slots))
-	s.engines = append(s.engines, &engine{target: t, key: fitting.KeyOf(t.Incarnation()), cached: map[uint64]bool{}})
+	s.engines = append(s.engines, &engine{target: t, key: fitting.KeyOf(t.Incarnation()), cached: map[uint64]bool{}, usedAt: map[uint64]time.Duration{}})
 }
 
 // clockTime returns the simulated time of day.
@@ -116,9 +121,11 @@
 func (s *simulation) shareLoads(i, turn int) {
 	groups := max(s.deployment.ShareGroups, 1)
 	own := s.routers[i].loads.Own()
+	usage := s.routers[i].usage.Own(s.clockTime())
 	for j, peer := range s.routers {
 		if i != j && j%groups == turn%groups {
 			peer.loads.SetPeer(s.routers[i].name, own, s.clockTime())
+			peer.usage.RecordFromPeer(s.routers[i].name, usage, s.clockTime())
 		}
 	}
 	s.after(shareInterval, func() { s.shareLoads(i, turn+1) })
@@ -130,9 +137,10 @@
 	if s.pattern.LoadFactor > 0 {
 		rate *= s.pattern.LoadFactor
 	}
-	if s.pattern.SurgeFactor > 0 && s.now > PatternDuration/3 && s.now < 2*PatternDuration/3 {
+	if s.pattern.surges(c, s.now) {
 		rate *= s.pattern.SurgeFactor
 	}
+	rate *= s.hotWorkspaceSurplus()
 	return time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))
 }
 
@@ -147,7 +155,13 @@
 		prompt = 1
 	}
 	s.result.Requests++
-	rank := s.random.IntN(s.deployment.Ranks)
+	rank := c.Rank
+	if s.deployment.Ranks > 0 {
+		rank = s.random.IntN(s.deployment.Ranks)
+	}
 	s.result.RequestsByRank[rank]++
-	s.attempt(&request{class: c, rank: rank, prompt: uint64(c.SharedTokens)<<16 | uint64(prompt), start: s.now})
+	q := &request{class: c, rank: rank, prompt: uint64(c.SharedTokens)<<16 | uint64(prompt), start: s.now}
+	s.drawWorkspace(q)
+	s.drawLength(q)
+	s.attempt(q)
 }
