fitting: prefill time is learned by a line from the shortest time; patterns of hard load replayed

A linear regression of prefill time was too noisy with the few requests that each of 131 routers sees, and a line through the origin takes a target that is slow for any prompt for one short of prefill time.

--- a/fitting/prefill_times.go
+++ b/fitting/prefill_times.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// shortestGrowth is the growth of the shortest time with each observation, by which it follows
+// targets that become slower.
+const shortestGrowth = 1.001
+
 // PrefillTimes holds how long the engines of each service take for the prompt tokens that are ahead
 // of a first event, including the request's own. Parts of prompts that are cached count as tokens
 // but take no time, so that the time depends on the service. It is safe for concurrent use.
@@ -13,12 +17,9 @@
 	lines map[string]line
 }
 
-// line is fitted to times by tokens with exponentially decaying weights. It doesn't begin at 0, as
-// a target that takes long for any prompt is not short of prefill time.
-type line struct {
-	known                                bool
-	tokens, time, tokensByTime, tokensSq float64
-}
+// line is fitted to times by tokens with exponentially decaying weights. It begins at the shortest
+// time, as a target that takes long for any prompt is not short of prefill time.
+type line struct{ shortest, tokensByTime, tokensSquared float64 }
 
 // NewPrefillTimes returns an empty PrefillTimes.
 func NewPrefillTimes() *PrefillTimes { return &PrefillTimes{lines: map[string]line{}} }
@@ -26,21 +27,20 @@
 // Observe adds the time to the first event of a request that did not wait for a slot, with the
 // prompt tokens at its engine.
 func (t *PrefillTimes) Observe(service string, tokens int, d time.Duration) {
-	if tokens <= 0 || d < 0 {
+	if tokens <= 0 || d <= 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	n, spent := float64(tokens), float64(d)
 	l := t.lines[service]
-	weight := meanWeight
-	if !l.known {
-		weight = 1
-	}
-	n, ms := float64(tokens), d.Seconds()*1000
-	t.lines[service] = line{
-		known: true, tokens: l.tokens + weight*(n-l.tokens), time: l.time + weight*(ms-l.time),
-		tokensByTime: l.tokensByTime + weight*(n*ms-l.tokensByTime), tokensSq: l.tokensSq + weight*(n*n-l.tokensSq),
+	if l.shortest == 0 {
+		l.shortest = spent
 	}
+	l.shortest = min(l.shortest*shortestGrowth, spent)
+	l.tokensByTime += meanWeight * (n*(spent-l.shortest) - l.tokensByTime)
+	l.tokensSquared += meanWeight * (n*n - l.tokensSquared)
+	t.lines[service] = l
 }
 
 // PerThousand returns the time that a thousand more tokens take; 0 if unknown.
@@ -48,10 +48,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.lines[service]
-	variance := l.tokensSq - l.tokens*l.tokens
-	if variance <= 0 {
+	if l.tokensSquared == 0 {
 		return 0
 	}
-	slope := (l.tokensByTime - l.tokens*l.time) / variance
-	return time.Duration(max(slope, 0) * 1000 * float64(time.Millisecond))
+	return time.Duration(1000 * l.tokensByTime / l.tokensSquared)
 }
--- a/lugtest/enginetest/hard_deployment.go
+++ b/lugtest/enginetest/hard_deployment.go
@@ -68,3 +68,17 @@
 	}
 	return d
 }
+
+// LongPromptDeployment has mostly long prompts that share little, at engines that read them fast, so
+// that memory is short first.
+func LongPromptDeployment() Deployment {
+	const fastPrefill = 400
+	d := HardDeployment().WithLoad("", 0.3).WithLoad(UrgentLong, 14).WithLoad(PlainLong, 14)
+	d.PrefillRate = fastPrefill
+	for i, c := range d.Classes {
+		if c.Name == UrgentLong || c.Name == PlainLong {
+			d.Classes[i].SharedTokens, d.Classes[i].OwnTokens = c.OwnTokens, c.SharedTokens
+		}
+	}
+	return d
+}
