fitting: a fast plain target doesn't count as idle when its slots are taken

TestChooseBySpeed found that a target twice as fast as usual with all slots taken counted as idle. The bound on load holds for plain targets with estimates too, as a very fast one could have had more (TestEstimatesKeepLoadBound).

--- a/capacity/service.go
+++ b/capacity/service.go
@@ -11,7 +11,7 @@
 	// usual is the median of the targets' averages; 0 if none was observed.
 	usual [kinds]usualValue
 	// observed says that something is known.
-	observed   bool
+	observed bool
 	// computedAt is in nanoseconds of the time of day.
 	computedAt int64
 }
--- a/capacity/table_test.go
+++ b/capacity/table_test.go
@@ -46,14 +46,12 @@
 
 func asUsual(capacity.TargetKey) time.Duration { return usual }
 
-// slowFirst makes the first engine take a number of times as long.
-func slowFirst(factor int) func(capacity.TargetKey) time.Duration {
-	return func(k capacity.TargetKey) time.Duration {
-		if k == 1 {
-			return time.Duration(factor) * usual
-		}
-		return usual
+// slowFirst makes the first engine take five times as long.
+func slowFirst(k capacity.TargetKey) time.Duration {
+	if k == 1 {
+		return 5 * usual
 	}
+	return usual
 }
 
 // TestSilentSlowdown guards against an engine that slows down five times without saying so being
@@ -62,7 +60,7 @@
 	table := newTable()
 	now := observe(table, start, 5*time.Second, asUsual)
 	require.InDelta(t, 1, table.Estimate(1, now).Slowness(), 0.05)
-	now = observe(table, now, 2*time.Second, slowFirst(5))
+	now = observe(table, now, 2*time.Second, slowFirst)
 	require.Greater(t, table.Estimate(1, now).Slowness(), 2.)
 	changes := table.Changes(now)
 	require.Len(t, changes, 1)
@@ -70,7 +68,7 @@
 	require.True(t, changes[0].Slow)
 	require.Greater(t, table.Slowest("models", now), 2.)
 	require.Empty(t, table.Changes(now), "each change is reported once")
-	now = observe(table, now, 4*time.Second, slowFirst(5))
+	now = observe(table, now, 4*time.Second, slowFirst)
 	require.InDelta(t, 5, table.Estimate(1, now).Slowness(), 1)
 	now = observe(table, now, 4*time.Second, asUsual)
 	require.Less(t, table.Estimate(1, now).Slowness(), 1.5)
@@ -121,8 +119,9 @@
 // TestNewIncarnation guards against an estimate that outlasts a restart of the target.
 func TestNewIncarnation(t *testing.T) {
 	table := newTable()
-	now := observe(table, start, 5*time.Second, slowFirst(5))
-	next := append(keys(1)[1:], 99)
+	now := observe(table, start, 5*time.Second, slowFirst)
+	next := keys(2)
+	next[engines-1] = 99
 	table.SetTargets(map[string][]capacity.TargetKey{"models": next})
 	require.InDelta(t, 1, table.Estimate(99, now).Slowness(), 0.01, "another incarnation is as usual")
 	require.Zero(t, table.Estimate(1, now), "the old one is forgotten")
@@ -147,17 +146,25 @@
 	now := observe(table, start, 5*time.Second, asUsual)
 	before := table.Estimate(1, now)
 	for _, o := range []capacity.Observation{
-		capacity.Pause{Each: -time.Second, Batch: 8}, capacity.Pause{Each: time.Hour, Batch: 8}, capacity.Pause{Each: usual, Batch: -1},
-		capacity.FirstEvent{Tokens: 10, Took: time.Second}, capacity.FirstEvent{Tokens: math.MaxInt, Took: time.Millisecond},
-		capacity.Served{Took: -time.Second}, capacity.Served{Took: time.Hour},
+		capacity.Pause{Each: -time.Second, Batch: 8},
+		capacity.Pause{Each: time.Hour, Batch: 8},
+		capacity.Pause{Each: usual, Batch: -1},
+		capacity.FirstEvent{Tokens: 10, Took: time.Second},
+		capacity.FirstEvent{Tokens: math.MaxInt, Took: time.Millisecond},
+		capacity.Served{Took: -time.Second},
+		capacity.Served{Took: time.Hour},
 	} {
 		table.Observe(1, o, now)
 		require.Equal(t, before, table.Estimate(1, now), "%#v", o)
 	}
 	inf, nan := math.Inf(1), math.NaN()
 	table.RecordFromPeer([]capacity.Report{
-		{Target: 1, Pause: inf, Batch: 8}, {Target: 1, Pause: nan, Served: nan, PrefillRate: nan}, {Target: 1, Pause: -4, Served: inf, PrefillRate: inf},
-		{Target: 1, Pause: 400, Batch: -1}, {Target: 1, Pause: 400, Age: -time.Second}, {Target: 1, Pause: 400, Age: time.Hour},
+		{Target: 1, Pause: inf, Batch: 8},
+		{Target: 1, Pause: nan, Served: nan, PrefillRate: nan},
+		{Target: 1, Pause: -4, Served: inf, PrefillRate: inf},
+		{Target: 1, Pause: 400, Batch: -1},
+		{Target: 1, Pause: 400, Age: -time.Second},
+		{Target: 1, Pause: 400, Age: time.Hour},
 	}, now)
 	require.Equal(t, before, table.Estimate(1, now))
 	table.Observe(1, capacity.Pause{Each: 20 * time.Second, Batch: 8}, now)
@@ -204,7 +211,7 @@
 	require.NotEmpty(t, send(now), "what is usual is told now and then")
 	now = observe(own, now, time.Second, asUsual)
 	require.Empty(t, send(now), "not again at once")
-	now = observe(own, now, 2*time.Second, slowFirst(5))
+	now = observe(own, now, 2*time.Second, slowFirst)
 	reports := send(now)
 	require.Len(t, reports, 1)
 	require.Equal(t, capacity.TargetKey(1), reports[0].Target)
--- a/fitting/choose_plain.go
+++ b/fitting/choose_plain.go
@@ -2,13 +2,14 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
 // chooseLeastLoaded selects the least loaded target, preferring those in the
 // router's own place.
 func chooseLeastLoaded(q Request, all []Candidate, left []int) Decision {
-	best := slices.MinFunc(left, func(a, b int) int {
+	best := slices.MinFunc(withinPlainBound(all, left), func(a, b int) int {
 		return cmp.Or(
 			cmp.Compare(utilization(all[a]), utilization(all[b])),
 			compareBool(all[a].Limited, all[b].Limited),
@@ -18,6 +19,21 @@
 	return Chosen{Index: best, Source: NoSource, MaxWait: q.permitWait(all, left, best)}
 }
 
+// withinPlainBound returns those of the candidates whose load is below a multiple of the mean, as fast
+// targets could have too much of it otherwise. Without estimates the least loaded one is within it.
+func withinPlainBound(all []Candidate, left []int) []int {
+	total, estimated := 0, false
+	for _, i := range left {
+		total += all[i].Load.requests
+		estimated = estimated || all[i].Estimate.Slowness() != 1
+	}
+	if !estimated {
+		return left
+	}
+	bound := int(math.Ceil(boundFactor*float64(total)/float64(len(left)))) + boundExtra
+	return slices.DeleteFunc(slices.Clone(left), func(i int) bool { return all[i].Load.requests >= bound })
+}
+
 // idleUtilization is the utilization below which a target counts as idle, so that those in the same
 // place are preferred among them.
 const idleUtilization = 0.34
@@ -27,11 +43,12 @@
 // takes as long. Those below idleUtilization count as idle.
 func utilization(c Candidate) float64 {
 	f := float64(c.Load.requests) / float64(max(c.Target.Slots(), 1))
+	taken := f
 	if slowness := c.Estimate.Slowness(); slowness != 1 {
 		f = f*slowness + idleUtilization*(slowness-1)
 	}
-	if !c.Estimate.HasRoom(c.Load.requests) {
-		f = max(f, 1)
+	if taken >= 1 || !c.Estimate.HasRoom(c.Load.requests) {
+		f = max(f, taken, 1)
 	}
 	if f < idleUtilization {
 		return 0
