--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -167,22 +167,21 @@
 	return ms
 }
 
-// prefillCost returns the time to read prompt tokens at the target, in milliseconds.
+// prefillCost returns the time to read prompt tokens at the target, in milliseconds, at the assumed
+// rate and as slow as the target is. The rate itself is not taken from observations: what a prompt
+// that isn't cached costs against load is the same for fast and slow models.
 func (c Candidate) prefillCost(tokens int) int {
-	if rate := c.Estimate.PrefillRate(); rate > 0 {
-		return int(float64(tokens) / rate)
-	}
-	return tokens / prefillRate
+	return int(float64(tokens) / prefillRate * c.Estimate.Slowness())
 }
 
 // loadCost returns the delay by the requests that are at the target, in milliseconds. Where the
 // target was observed, it also counts the pauses that the streams there are expected to have while
 // a prompt is read, and that slots may be taken that a router doesn't know of yet.
 func loadCost(c Candidate) int {
+	ms := c.prefillCost(c.Load.prefillTokens) + int(float64(c.Load.requests*requestCost)*c.Estimate.Slowness())
 	if !c.Estimate.KnowsPauses() {
-		return c.prefillCost(c.Load.prefillTokens) + int(float64(c.Load.requests*requestCost)*c.Estimate.Slowness())
+		return ms
 	}
-	ms := c.prefillCost(prefillWeight*c.Load.prefillTokens) + c.Load.requests*requestCost
 	reading := readingFactor * c.Estimate.Predict(c.Load.requests, 0).Pause
 	ms += pauseWeight * int(max(reading-smoothPause, 0)/time.Millisecond)
 	return ms + fullCost*max(c.Load.requests-int(fullShare*float64(c.Target.Slots())), 0)
--- a/fitting/choose_plain.go
+++ b/fitting/choose_plain.go
@@ -18,14 +18,28 @@
 // chose the least loaded target, all would choose the same one until the next report, and its
 // queue would overflow beside targets that have free slots.
 func choosePlain(q Request, all []Candidate, left []int) Decision {
-	from := left
-	if near := idleNearby(q, all, left); len(near) > 0 {
+	from := withinMean(all, left)
+	if near := idleNearby(q, all, from); len(near) > 0 {
 		from = near
 	}
 	best := drawByWeight(q, all, from)
 	return Chosen{Index: best, Source: NoSource, MaxWait: q.permitWait(all, left, best)}
 }
 
+// withinMean returns the candidates whose load is below a multiple of the mean.
+func withinMean(all []Candidate, left []int) []int {
+	total := 0
+	for _, i := range left {
+		total += all[i].Load.requests
+	}
+	bound := int(math.Ceil(boundFactor*float64(total)/float64(len(left)))) + boundExtra
+	within := slices.DeleteFunc(slices.Clone(left), func(i int) bool { return all[i].Load.requests >= bound })
+	if len(within) == 0 {
+		return left
+	}
+	return within
+}
+
 // idleNearby returns the idle candidates in the router's own place at which it has no request.
 func idleNearby(q Request, all []Candidate, left []int) []int {
 	return slices.DeleteFunc(slices.Clone(left), func(i int) bool {
@@ -50,13 +64,17 @@
 }
 
 // drawWeight returns the weight of a candidate. This router's own requests, which are known
-// exactly, count more than those of peers, and a slow target gets fewer requests in proportion.
+// exactly, count more than those of peers, and a slow target gets fewer requests in proportion. A
+// fast one whose slots are taken makes a request wait, so that it gets no more for its speed.
 func drawWeight(c Candidate) float64 {
-	load := idleUtilization + math.Max(utilization(c), 0)
+	load, slowness := idleUtilization+math.Max(utilization(c), 0), c.Estimate.Slowness()
+	if utilization(c) >= 1 {
+		slowness = math.Max(slowness, 1)
+	}
 	if !c.Estimate.HasRoom(c.Load.requests) {
 		load++
 	}
-	return 1 / (load * c.Estimate.Slowness() * float64(1+max(c.OwnRequests, 0)))
+	return 1 / (load * slowness * float64(1+max(c.OwnRequests, 0)))
 }
 
 // idle reports whether a request starts at once at the candidate and doesn't take much longer than
@@ -68,7 +86,8 @@
 // request takes as long; one that lately had no room counts as full.
 func effectiveUtilization(c Candidate) float64 {
 	slowness := c.Estimate.Slowness()
-	f := utilization(c)*slowness + idleUtilization*(slowness-1)
+	// A fast target with all slots taken isn't idle.
+	f := math.Max(utilization(c)*slowness+idleUtilization*(slowness-1), utilization(c)-1+idleUtilization)
 	if !c.Estimate.HasRoom(c.Load.requests) {
 		f = math.Max(f, 1)
 	}
