--- a/fitting/memory.go
+++ b/fitting/memory.go
@@ -20,7 +20,8 @@
 	if !known {
 		return left, NoShortage
 	}
-	full := func(i int) bool { return all[i].Load.requests > 0 && q.lackingTokens(all[i], mean) > 0 }
+	need := q.memoryNeed(mean)
+	full := func(i int) bool { return all[i].Load.requests > 0 && need.lacking(&all[i]) > 0 }
 	if !slices.ContainsFunc(left, full) {
 		return left, NoShortage
 	}
@@ -32,14 +33,31 @@
 	return some, NoShortage
 }
 
-// lackingTokens returns how many tokens the engine lacks for the request until its end; less than 0
-// if it has more. The mean is for requests whose tokens are unknown.
-func (q Request) lackingTokens(c Candidate, mean int) int {
+// memoryNeed is what a request needs of an engine's memory, in tokens.
+type memoryNeed struct {
+	// capacity is what the engine has for the request and those that it runs.
+	capacity int
+	// cached and uncached are the tokens that the request needs where its prompt is cached, and
+	// elsewhere; mean is for requests whose tokens are unknown.
+	cached, uncached, mean int
+}
+
+func (q Request) memoryNeed(mean int) memoryNeed {
 	capacity := float64(q.KVCapacity)
 	if q.OverloadedFor > 0 {
 		capacity *= 1 - min(urgentReserve*float64(max(q.Priority, 0)), 0.5)
 	}
-	return c.Load.expectedKVTokens(mean) + q.Work.KVTokens(c.Cached) - int(capacity)
+	return memoryNeed{capacity: int(capacity), cached: q.Work.KVTokens(true), uncached: q.Work.KVTokens(false), mean: mean}
+}
+
+// lacking returns how many tokens the engine lacks for the request until its end; less than 0 if it
+// has more.
+func (n memoryNeed) lacking(c *Candidate) int {
+	own := n.uncached
+	if c.Cached {
+		own = n.cached
+	}
+	return c.Load.expectedKVTokens(n.mean) + own - n.capacity
 }
 
 // meanKVTokens returns the mean tokens of the requests at the candidates, or false if none are
@@ -70,9 +88,10 @@
 // where it lacks least: requests free what they hold within the service time.
 func (q Request) memoryWait(all []Candidate, left []int) time.Duration {
 	mean, _ := meanKVTokens(all, left)
+	need := q.memoryNeed(mean)
 	lacking := math.MaxInt
 	for _, i := range left {
-		lacking = min(lacking, q.lackingTokens(all[i], mean))
+		lacking = min(lacking, need.lacking(&all[i]))
 	}
 	return time.Duration(float64(q.ServiceTime) * min(float64(max(lacking, 0))/float64(q.KVCapacity), 1))
 }
--- a/fitting/prefill.go
+++ b/fitting/prefill.go
@@ -21,7 +21,8 @@
 	case shortest > q.fairWait():
 		return left, ShareShortage
 	}
-	return slices.DeleteFunc(slices.Clone(left), func(i int) bool { return q.prefillWait(all[i]) > q.fairWait() }), NoShortage
+	wait := q.fairWait()
+	return slices.DeleteFunc(slices.Clone(left), func(i int) bool { return q.prefillWait(all[i].Load) > wait }), NoShortage
 }
 
 // mostUrgent returns the request with the most urgent priority.
@@ -32,14 +33,16 @@
 
 // shortestPrefill returns the shortest prefillWait of the candidates.
 func (q Request) shortestPrefill(all []Candidate, left []int) time.Duration {
-	shortest := q.prefillWait(all[left[0]])
+	least := all[left[0]].Load
 	for _, i := range left[1:] {
-		shortest = min(shortest, q.prefillWait(all[i]))
+		if all[i].Load.prefillTokens < least.prefillTokens {
+			least = all[i].Load
+		}
 	}
-	return shortest
+	return q.prefillWait(least)
 }
 
 // prefillWait returns how long an engine takes for the prompts that it has yet to read.
-func (q Request) prefillWait(c Candidate) time.Duration {
-	return q.PrefillTime * time.Duration(c.Load.prefillTokens) / 1000
+func (q Request) prefillWait(l Load) time.Duration {
+	return q.PrefillTime * time.Duration(l.prefillTokens) / 1000
 }
