intake: bound what a router holds for callers and targets

Cause: a body's whole stated length was allocated at once, bodies of peers' calls had no limit, 2,000 to 10,000 connections were open at each listener whatever the memory and the descriptors, and net/http waits without a deadline for up to 256 KB of a body that a handler has left unread.

Change: package intake has one account for the process (a quarter of memory-mb, and a reserve for one request). Bytes are charged as they arrive: connections, heads, bodies, buffered responses and events. When it runs short, the client without progress for longest loses its connection; 408 and 503 only before a request was sent to a target. The listeners of both interfaces share it: go-zero's routes are served by rest.NewServerless on our own listener, as its start takes none. Bodies of refused requests are not read. Limits of connections come from the memory and the descriptors.

Ruled out: a count for each address (a balancer shows many callers under one), charging stated lengths (they cost the client nothing), waiting for room.

--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -25,15 +24,12 @@
 	entryHeaderTimeout  = 30 * time.Second
 	entryIdleTimeout    = 10 * time.Minute
 	entryMaxHeaderBytes = 64 << 10
-	entryMaxConns       = 2000
+	// probeMaxHeaderBytes bounds the heads of readiness checks and of requests for metrics.
+	probeMaxHeaderBytes = 8 << 10
 	storeConnectTimeout = 500 * time.Millisecond
 	peerConnectTimeout  = 400 * time.Millisecond
 	peerIdleConnTimeout = 10 * time.Second
 	storeKeepAlive      = time.Second
-	// memoryLimitRatio is the fraction of the memory at which the garbage collector
-	// runs more often.
-	memoryLimitRatio = 0.7
-	gcPercent        = 60
 	// shutdownMargin is subtracted from the grace period.
 	shutdownMargin = 300 * time.Millisecond
 	// flushTimeout limits the wait for buffered log lines.
@@ -49,8 +45,7 @@
 	defer out.Close(flushTimeout)
 	meter.Gauge("log_lines_left_out", func() float64 { return float64(out.Dropped()) })
 	log := reception.NewLogger("router", cfg.LogLevel(), true, out).With("router", cfg.Name())
-	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(float64(cfg.MemoryMB()<<20) * memoryLimitRatio))
+	limitMemory(cfg.MemoryMB())
 	clock := schedule.NewSystem()
 	client := reception.NewClient("store",
 		reception.WithConnectTimeout(storeConnectTimeout), reception.WithKeepAlive(storeKeepAlive, storeKeepAlive))
@@ -61,7 +56,7 @@
 		reception.NewClient("peers", reception.WithConnectTimeout(peerConnectTimeout), reception.WithIdleConnTimeout(peerIdleConnTimeout)))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	entry, failed, err := listenDeployment(cfg, g)
+	entry, failed, err := listenDeployment(cfg, g, newIntake(cfg.Intake(), log))
 	if err != nil {
 		log.Error("cannot listen", "error", err)
 		return exitFailure
@@ -88,24 +83,32 @@
 	}
 }
 
-func listenDeployment(cfg *settings.Deployment, g *gateway.Gateway) (*reception.Server, chan error, error) {
+func listenDeployment(
+	cfg *settings.Deployment, g *gateway.Gateway, held *reception.Intake,
+) (*reception.Server, chan error, error) {
+	descriptors := maxDescriptors()
 	entry, err := reception.NewServer("entry", cfg.Entry(), reception.WithHandler(g),
-		reception.WithMaxHeaderBytes(entryMaxHeaderBytes), reception.WithMaxConns(entryMaxConns),
-		reception.WithTimeouts(entryHeaderTimeout, entryIdleTimeout), reception.WithConnLimits(g))
+		reception.WithMaxHeaderBytes(entryMaxHeaderBytes), reception.WithMaxConns(cfg.EntryConns(descriptors)),
+		reception.WithTimeouts(entryHeaderTimeout, entryIdleTimeout), reception.WithConnLimits(g), reception.WithIntake(held))
 	if err != nil {
 		return nil, nil, err
 	}
-	ready, err := reception.NewServer("ready", cfg.Ready(), reception.WithHandler(readiness(g)))
+	ready, err := reception.NewServer("ready", cfg.Ready(), reception.WithHandler(readiness(g)),
+		reception.WithMaxConns(cfg.ReadyConns(descriptors)), reception.WithMaxHeaderBytes(probeMaxHeaderBytes),
+		reception.WithIntake(held), reception.WithoutBodies())
 	if err != nil {
 		return nil, nil, err
 	}
 	metrics, err := reception.NewServer("metrics", cfg.Metrics(), reception.WithHandler(
-		http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { meter.Write(w) })))
+		http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { meter.Write(w) })),
+		reception.WithMaxConns(cfg.MetricsConns(descriptors)), reception.WithMaxHeaderBytes(probeMaxHeaderBytes),
+		reception.WithIntake(held), reception.WithoutBodies())
 	if err != nil {
 		return nil, nil, err
 	}
 	peers, err := reception.NewServer("peers", cfg.Peers(), reception.WithHandler(g.PeerHandler()),
-		reception.WithMaxHeaderBytes(entryMaxHeaderBytes))
+		reception.WithMaxHeaderBytes(entryMaxHeaderBytes), reception.WithMaxConns(cfg.PeerConns(descriptors)),
+		reception.WithIntake(held))
 	if err != nil {
 		return nil, nil, err
 	}
--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +8,7 @@
 	"strconv"
 
 	"vanillalug.example/plan"
+	"vanillalug.example/reception"
 )
 
 // maxBufferedBody is the largest body that is buffered before it is sent to the
@@ -23,8 +23,8 @@
 		return t.streamEvents(ctx, u, o, onFirstEvent)
 	}
 	onFirstEvent()
-	body, err := io.ReadAll(io.LimitReader(o.response.Body, maxBufferedBody+1))
-	if len(body) > maxBufferedBody {
+	body, whole, err := t.bufferResponse(o.response)
+	if !whole {
 		t.streamBody(o, body)
 		return false
 	}
@@ -63,6 +63,7 @@
 
 // writeResponse sends a buffered response to the caller.
 func (t *transaction) writeResponse(o responded, body []byte) {
+	t.dropBody()
 	h := t.w.Header()
 	t.copyHeaders(o)
 	if bodyAllowed(t.req.Method(), o.meta.Status()) {
@@ -76,13 +77,18 @@
 // streamBody sends a long response to the caller as it arrives. prefix is the
 // part of the body that was read already.
 func (t *transaction) streamBody(o responded, prefix []byte) {
+	t.dropBody()
 	h := t.w.Header()
 	t.copyHeaders(o)
 	if o.response.ContentLength >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(o.response.ContentLength, 10))
 	}
 	t.w.WriteHeader(o.meta.Status())
-	_, err := io.Copy(t.w, io.MultiReader(bytes.NewReader(prefix), o.response.Body))
+	_, err := t.w.Write(prefix)
+	if err == nil {
+		reception.ReleaseResponse(t.r, len(prefix))
+		_, err = io.Copy(t.w, o.response.Body)
+	}
 	t.releaseConn(o, err)
 	if err != nil {
 		t.abort("body", err)
--- a/cmd/router/gateway/entry.go
+++ b/cmd/router/gateway/entry.go
@@ -1,10 +1,7 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"vanillalug.example/plan"
@@ -86,48 +83,3 @@
 	}
 	return timeout
 }
-
-func (t *transaction) readBody() *rejection {
-	if t.r.ContentLength == 0 {
-		return nil
-	}
-	limit := t.table.Limits().BodyBytes()
-	if limit > 0 && t.r.ContentLength > limit {
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	}
-	reader := io.Reader(t.r.Body)
-	if limit > 0 {
-		reader = http.MaxBytesReader(t.w, t.r.Body, limit)
-	}
-	controller := http.NewResponseController(t.w)
-	if err := controller.SetReadDeadline(t.deadline); err != nil {
-		t.g.log.Debug("cannot limit reads from a caller", "request", t.req.ID(), "error", err)
-	}
-	body, err := readAll(reader, t.r.ContentLength)
-	if err == nil {
-		err = controller.SetReadDeadline(time.Time{})
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return &rejection{status: http.StatusRequestEntityTooLarge, reason: "body too large"}
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		t.w.Header().Set("Connection", "close")
-		return &rejection{status: http.StatusRequestTimeout, reason: "body not sent in time", cause: err}
-	}
-	if err != nil {
-		return &rejection{status: http.StatusBadRequest, reason: "body broken off", cause: err}
-	}
-	t.body = body
-	return nil
-}
-
-// readAll reads length bytes, or up to EOF if length is negative.
-func readAll(in io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(in)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(in, body)
-	return body, err
-}
--- a/cmd/router/gateway/relay.go
+++ b/cmd/router/gateway/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -153,8 +152,8 @@
 	if t.route.Kind() == plan.Streaming && o.meta.Status() == http.StatusOK {
 		return t.relayEvents(o)
 	}
-	body, err := io.ReadAll(io.LimitReader(o.response.Body, maxBufferedBody+1))
-	if len(body) > maxBufferedBody {
+	body, whole, err := t.bufferResponse(o.response)
+	if !whole {
 		t.countRelay("answered")
 		t.streamBody(o, body)
 		return false
--- a/cmd/router/gateway/relay_server.go
+++ b/cmd/router/gateway/relay_server.go
@@ -10,19 +10,24 @@
 
 	"vanillalug.example/cmd/router/channel"
 	"vanillalug.example/peer"
+	"vanillalug.example/reception"
 )
 
 // maxRelayedRequests is the number of requests that are relayed for peers at a time. More are
 // turned away, so that this router's own callers are served.
 const maxRelayedRequests = 256
 
+// maxCallBytes bounds the body of a peer's call. Calls have a few fields, of which the longest are
+// addresses and lists of targets.
+const maxCallBytes = 1 << 20
+
 // PeerHandler serves what other routers send: their calls, and the requests that they relay as
 // they don't reach the targets.
 func (g *Gateway) PeerHandler() http.Handler {
 	calls := peer.NewBeliefsServer(g)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(relayHeader) == "" {
-			calls.ServeHTTP(w, r)
+			reception.BufferBody(w, r, maxCallBytes, calls)
 			return
 		}
 		g.serveRelayed(w, r)
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -28,6 +28,11 @@
 		return false
 	}
 	t.abortIfCallerGone(err)
+	if errors.Is(err, noMemoryError{}) {
+		// It is no failure of the target.
+		t.fail(&rejection{status: http.StatusBadGateway, reason: "stream broke off", cause: err})
+		return false
+	}
 	t.logAttempt("stream broke off", err)
 	mayResend := true
 	if ctx.Err() == nil {
@@ -74,9 +79,15 @@
 // event is dropped. u is nil if a peer relays the stream, and records where it began.
 func (t *transaction) copyEvents(u *upstream, o responded, onFirstEvent func()) error {
 	events := newEventBuffer(eventBufferSize)
+	held := heldEvents{t: t}
+	defer held.release()
 	empty := true
 	for {
-		n, err := o.response.Body.Read(events.free())
+		free := events.free()
+		if !held.cover(events) {
+			return noMemoryError{}
+		}
+		n, err := o.response.Body.Read(free)
 		complete := events.advance(n)
 		if len(complete) > 0 {
 			empty = false
--- a/cmd/router/handlers/callers.go
+++ b/cmd/router/handlers/callers.go
@@ -1,8 +1,6 @@
 package handlers
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -63,7 +61,6 @@
 		}
 		ws, p := c.authenticate(w, r)
 		if p == nil {
-			r.Body = http.MaxBytesReader(w, r.Body, int64(c.limits.MaxBodyBytes))
 			p = next(w, r, ws)
 		}
 		if p == nil {
@@ -152,7 +149,7 @@
 		return vanillalug.NewProblem(http.StatusNotFound, "no-such-service",
 			"the first segment of the path is not a service of this workspace", vanillalug.WithField("path"))
 	}
-	body, p := readBody(r)
+	body, p := c.readBody(w, r, serviceBodyCopies)
 	if p != nil {
 		return p
 	}
@@ -168,14 +165,14 @@
 	if p != nil {
 		return p
 	}
-	writeResponse(w, response)
+	writeResponse(w, r, response)
 	return nil
 }
 
 // maxKeyBytes limits an idempotency key.
 const maxKeyBytes = 255
 
-func writeResponse(w http.ResponseWriter, response office.Response) {
+func writeResponse(w http.ResponseWriter, r *http.Request, response office.Response) {
 	h := w.Header()
 	for name, values := range response.Header {
 		h[name] = values
@@ -184,20 +181,11 @@
 	if response.Replayed {
 		h.Set(ReplayedHeader, "true")
 	}
+	reception.ReleaseBody(r)
+	if !reception.HoldResponse(r, len(response.Body)) {
+		// The call has run, so it can't be refused: the response is cut.
+		panic(http.ErrAbortHandler)
+	}
 	w.WriteHeader(response.Status)
 	_, _ = w.Write(response.Body)
 }
-
-func readBody(r *http.Request) ([]byte, *vanillalug.Problem) {
-	body, err := io.ReadAll(r.Body)
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, vanillalug.NewProblem(http.StatusRequestEntityTooLarge, "body-too-large",
-			"the body is over the limit of the router", vanillalug.WithField("body"))
-	case err != nil:
-		return nil, vanillalug.NewProblem(http.StatusBadRequest, "bad-request",
-			"the body could not be read", vanillalug.WithField("body"))
-	}
-	return body, nil
-}
--- a/cmd/router/handlers/chat.go
+++ b/cmd/router/handlers/chat.go
@@ -15,7 +15,7 @@
 
 // chat serves a chat completions request.
 func (c *CallerAPI) chat(w http.ResponseWriter, r *http.Request, ws vanillalug.Workspace) *vanillalug.Problem {
-	body, p := readBody(r)
+	body, p := c.readBody(w, r, chatBodyCopies)
 	if p != nil {
 		return p
 	}
--- a/cmd/router/handlers/peers.go
+++ b/cmd/router/handlers/peers.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
+	"time"
 
 	"vanillalug.example/cmd/router/courier"
 	"vanillalug.example/cmd/router/meter"
@@ -34,10 +34,18 @@
 func (p *PeerAPI) Register(s *reception.Server) {
 	twirp := peer.NewPeerServer(p)
 	count := meter.ControlBytes(meter.ProbeServed)
-	s.Handle(http.MethodPost, twirp.PathPrefix(), p.requireKey(countBytes(count, twirp.ServeHTTP)))
+	s.Handle(http.MethodPost, twirp.PathPrefix(), p.requireKey(countBytes(count, p.buffered(twirp))))
 	s.Handle(http.MethodPost, courier.RelayPath, p.requireKey(p.relay))
 }
 
+// buffered passes calls on when their body has arrived.
+func (p *PeerAPI) buffered(next http.Handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) { reception.BufferBody(w, r, maxCallBytes, next) }
+}
+
+// maxCallBytes bounds the body of a peer's call. The longest hands over the chats of a router.
+const maxCallBytes = 8 << 20
+
 func (p *PeerAPI) requireKey(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if !reception.Authenticated(r, p.key) {
@@ -55,9 +63,9 @@
 		http.Error(w, courier.RelayHeader+": "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, p.maxBody))
+	body, err := reception.ReadRequestBody(w, r, p.maxBody, time.Time{})
 	if err != nil {
-		http.Error(w, "body: "+err.Error(), http.StatusBadRequest)
+		http.Error(w, "body: "+err.Error(), reception.BodyStatus(err))
 		return
 	}
 	q.Body = body
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -40,7 +40,8 @@
 
 func serve(cfg *settings.Settings, supported vanillalug.LevelRange) int {
 	log := reception.NewLogger("router", cfg.LogLevel(), cfg.LogJSON(), os.Stderr).With("router", cfg.Name())
-	l, err := listen(cfg)
+	limitMemory(cfg.MemoryMB())
+	l, err := listen(cfg, newIntake(cfg.Intake(), log))
 	if err != nil {
 		log.Error("cannot listen", "error", err)
 		return exitFailure
@@ -109,22 +110,25 @@
 	}
 }
 
-func listen(cfg *settings.Settings) (*listeners, error) {
+func listen(cfg *settings.Settings, held *reception.Intake) (*listeners, error) {
 	opts := []reception.ServerOption{
-		reception.WithMaxConns(hardLimitFactor * cfg.MaxConns()),
-		reception.WithMaxHeaderBytes(hardLimitFactor * cfg.MaxHeaderBytes()),
+		reception.WithMaxHeaderBytes(hardLimitFactor * cfg.MaxHeaderBytes()), reception.WithIntake(held),
 	}
+	descriptors := maxDescriptors()
 	l := &listeners{}
 	for _, s := range []struct {
 		name    string
 		address string
+		opts    []reception.ServerOption
 		dst     **reception.Server
 	}{
-		{"callers", cfg.Callers(), &l.callers},
-		{"peers", cfg.Peers(), &l.peers},
-		{"operators", cfg.Operators(), &l.operators},
+		{"callers", cfg.Callers(), []reception.ServerOption{reception.WithMaxConns(cfg.CallerConns(descriptors, hardLimitFactor))}, &l.callers},
+		{"peers", cfg.Peers(), []reception.ServerOption{reception.WithMaxConns(cfg.PeerConns(descriptors))}, &l.peers},
+		{"operators", cfg.Operators(), []reception.ServerOption{
+			reception.WithMaxConns(cfg.OperatorConns(descriptors)), reception.WithoutBodies(),
+		}, &l.operators},
 	} {
-		server, err := reception.NewServer(s.name, s.address, opts...)
+		server, err := reception.NewServer(s.name, s.address, append(s.opts, opts...)...)
 		if err != nil {
 			return nil, merry.Prependf(err, "listen: %s", s.name)
 		}
--- a/cmd/router/settings/deployment.go
+++ b/cmd/router/settings/deployment.go
@@ -36,6 +36,9 @@
 	retryWindow time.Duration
 	gracePeriod time.Duration
 	memoryMB    int
+	intake      Intake
+	// maxConns are the set limits of connections by listener; 0 is derived.
+	entryConns, readyConns, peerConns, metricsConns int
 }
 
 // LoadDeployment reads the settings from a file. All errors are reported
@@ -79,12 +82,45 @@
 	d.retryExtra = retries.Float("extra", defaultRetryExtra, 0, maxRetryExtra)
 	d.retryWindow = retries.Duration("window", defaultRetryWindow, time.Second, time.Hour)
 	d.gracePeriod = in.Single("times").Duration("grace", defaultGracePeriod, time.Second, time.Hour)
+	d.readLimits(in.Single("limits"))
 	if err := in.Err(); err != nil {
 		return nil, err
 	}
 	return d, nil
 }
 
+func (d *Deployment) readLimits(in *form.Section) {
+	d.intake = readIntake(in, d.memoryMB)
+	d.entryConns = in.Int("entry-connections", 0, 0, maxMaxConns)
+	d.readyConns = in.Int("ready-connections", 0, 0, maxMaxConns)
+	d.peerConns = in.Int("peer-connections", 0, 0, maxMaxConns)
+	d.metricsConns = in.Int("metrics-connections", 0, 0, maxMaxConns)
+}
+
+// Intake returns the limits of what is held for clients.
+func (d *Deployment) Intake() Intake { return d.intake }
+
+// EntryConns returns how many connections of callers may be open, in a process with that many
+// descriptors.
+func (d *Deployment) EntryConns(descriptors int) int {
+	return d.intake.maxConns(d.entryConns, descriptors, callerDescriptors)
+}
+
+// ReadyConns returns how many connections may be open for the balancer's checks.
+func (d *Deployment) ReadyConns(descriptors int) int {
+	return d.intake.maxConns(d.readyConns, descriptors, operatorDescriptors)
+}
+
+// PeerConns returns how many connections of other routers may be open.
+func (d *Deployment) PeerConns(descriptors int) int {
+	return d.intake.maxConns(d.peerConns, descriptors, peerDescriptors)
+}
+
+// MetricsConns returns how many connections may be open for metrics.
+func (d *Deployment) MetricsConns(descriptors int) int {
+	return d.intake.maxConns(d.metricsConns, descriptors, metricsDescriptors)
+}
+
 // Name returns the unique name of the VM.
 func (d *Deployment) Name() string { return d.name }
 
--- a/cmd/router/settings/settings.go
+++ b/cmd/router/settings/settings.go
@@ -16,6 +16,7 @@
 	defaultMaxHeaderBytes    = 32 << 10
 	maxMaxHeaderBytes        = 1 << 20
 	defaultMaxConns          = 10000
+	defaultOwnMemoryMB       = 1024
 	maxMaxConns              = 1000000
 	defaultMaxOpenRequests   = 8192
 	defaultFirstTokenTimeout = 60 * time.Second
@@ -52,6 +53,8 @@
 	vmsInterval       time.Duration
 	reportInterval    time.Duration
 	rememberedChats   int
+	memoryMB          int
+	intake            Intake
 }
 
 // Load reads the settings from a file. All errors are reported together, as a
@@ -86,6 +89,7 @@
 	s.place = in.Required("place")
 	s.logLevel = in.Choice("log-level", "info", "trace", "debug", "info", "warn", "error")
 	s.logJSON = in.Bool("log-json", false)
+	s.memoryMB = in.Int("memory-mb", defaultOwnMemoryMB, 1, maxMemoryMB)
 }
 
 func (s *Settings) readAddresses(in *form.File) {
@@ -106,6 +110,7 @@
 	s.maxHeaderBytes = in.Int("header-bytes", defaultMaxHeaderBytes, 1<<10, maxMaxHeaderBytes)
 	s.maxConns = in.Int("connections", defaultMaxConns, 1, maxMaxConns)
 	s.maxOpenRequests = in.Int("open-requests", defaultMaxOpenRequests, 1, maxMaxConns)
+	s.intake = readIntake(in, s.memoryMB)
 	s.rememberedChats = in.Int("remembered-chats", 1<<17, 1<<8, 1<<24)
 }
 
@@ -165,6 +170,28 @@
 // MaxOpenRequests returns the limit of open caller requests.
 func (s *Settings) MaxOpenRequests() int { return s.maxOpenRequests }
 
+// MemoryMB returns the memory that the process may use, in MiB.
+func (s *Settings) MemoryMB() int { return s.memoryMB }
+
+// Intake returns the limits of what is held for clients.
+func (s *Settings) Intake() Intake { return s.intake }
+
+// CallerConns returns how many connections of callers may be open, in a process with that many
+// descriptors; factor is that of the limit that closes connections without a response.
+func (s *Settings) CallerConns(descriptors, factor int) int {
+	return min(factor*s.maxConns, s.intake.maxConns(0, descriptors, callerDescriptors))
+}
+
+// PeerConns returns how many connections of other routers may be open.
+func (s *Settings) PeerConns(descriptors int) int {
+	return s.intake.maxConns(0, descriptors, peerDescriptors)
+}
+
+// OperatorConns returns how many connections of operators may be open.
+func (s *Settings) OperatorConns(descriptors int) int {
+	return s.intake.maxConns(0, descriptors, operatorDescriptors)
+}
+
 // RememberedChats returns the capacity of the cache index of one engine, in
 // chats.
 func (s *Settings) RememberedChats() int { return s.rememberedChats }
--- a/reception/server.go
+++ b/reception/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,6 +14,8 @@
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpx"
+
+	"vanillalug.example/intake"
 )
 
 const (
@@ -28,6 +31,7 @@
 // Server is one HTTP listener.
 type Server struct {
 	name      string
+	address   string
 	server    *rest.Server
 	http      atomic.Pointer[http.Server]
 	opts      serverOptions
@@ -41,6 +45,8 @@
 	maxConns       int
 	handler        http.Handler
 	guard          *connGuard
+	intake         *Intake
+	withoutBodies  bool
 }
 
 // ServerOption is an option of NewServer.
@@ -67,6 +73,13 @@
 	return func(o *serverOptions) { o.guard = newConnGuard(limits) }
 }
 
+// WithIntake bounds what the server holds for its clients.
+func WithIntake(i *Intake) ServerOption { return func(o *serverOptions) { o.intake = i } }
+
+// WithoutBodies says that no handler reads the body of a request. A connection with one that hasn't
+// arrived is closed after the response.
+func WithoutBodies() ServerOption { return func(o *serverOptions) { o.withoutBodies = true } }
+
 // WithHandler passes every request to the handler, whatever its host and path.
 func WithHandler(h http.Handler) ServerOption {
 	return func(o *serverOptions) { o.handler = h }
@@ -100,7 +113,7 @@
 		Host: host,
 		Port: port,
 	}
-	s := &Server{name: name, opts: o}
+	s := &Server{name: name, address: address, opts: o}
 	server, err := rest.NewServer(conf, rest.WithRouter(o.router()))
 	if err != nil {
 		return nil, fmt.Errorf("NewServer: %s: %w", name, err)
@@ -124,16 +137,41 @@
 
 // Serve handles requests until Shutdown. It returns an error if the address is
 // already in use.
-func (s *Server) Serve() (err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			err = fmt.Errorf("Server.Serve: %s: %v", s.name, p)
-		}
-	}()
-	s.server.StartWithOpts(s.configure)
+func (s *Server) Serve() error {
+	h, err := s.newHTTPServer()
+	if err != nil {
+		return fmt.Errorf("Server.Serve: %s: %w", s.name, err)
+	}
+	var config net.ListenConfig
+	l, err := config.Listen(context.Background(), "tcp", h.Addr)
+	if err != nil {
+		return fmt.Errorf("Server.Serve: %s: %w", s.name, err)
+	}
+	if s.opts.intake != nil {
+		l = &heldListener{Listener: l, server: s, intake: s.opts.intake, group: intake.Group(s.opts.intake.groups.Add(1))}
+	}
+	s.http.Store(h)
+	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("Server.Serve: %s: %w", s.name, err)
+	}
 	return nil
 }
 
+// newHTTPServer returns the server with its routes. go-zero's own start can't take a listener.
+func (s *Server) newHTTPServer() (*http.Server, error) {
+	routes, err := rest.NewServerless(s.server)
+	if err != nil {
+		return nil, err
+	}
+	h := &http.Server{Addr: s.address, Handler: http.HandlerFunc(routes.Serve)}
+	s.configure(h)
+	if s.opts.intake != nil {
+		h.Handler = s.accountFor(h.Handler)
+		h.ConnContext = connContext
+	}
+	return h, nil
+}
+
 // Shutdown stops accepting connections and waits for the requests in flight.
 func (s *Server) Shutdown(ctx context.Context) error {
 	h := s.http.Load()
@@ -151,16 +189,18 @@
 	h.ReadHeaderTimeout = s.opts.headerTimeout
 	h.IdleTimeout = s.opts.idleTimeout
 	h.ConnState = s.trackConn
-	s.http.Store(h)
 }
 
 func (s *Server) trackConn(c net.Conn, state http.ConnState) {
 	if s.opts.guard != nil {
 		s.opts.guard.connState(c, state)
 	}
+	if held, ok := c.(*heldConn); ok {
+		held.connState(state)
+	}
 	switch state {
 	case http.StateNew:
-		if s.openConns.Add(1) > int64(s.opts.maxConns) {
+		if s.openConns.Add(1) > int64(s.opts.maxConns) && s.opts.intake == nil {
 			_ = c.Close()
 		}
 	case http.StateClosed, http.StateHijacked:
