--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -28,11 +28,8 @@
 	readingFactor = 3
 	smoothPause   = 300 * time.Millisecond
 	pauseWeight   = 30
-	// fullCost is added for each request beyond fullShare of the slots, in milliseconds: the
-	// loads of peers are some time old, and a fast engine that takes more than others is full
-	// before them.
-	fullCost  = 100
-	fullShare = 0.7
+	// noticeableSlowness is the slowness from which on an engine counts as slow.
+	noticeableSlowness = 1.5
 	// noRoomCost is added for an engine that lately had no room, in milliseconds: more than the
 	// prefill of most prompts.
 	noRoomCost = 2000
@@ -171,20 +168,28 @@
 // rate and as slow as the target is. The rate itself is not taken from observations: what a prompt
 // that isn't cached costs against load is the same for fast and slow models.
 func (c Candidate) prefillCost(tokens int) int {
-	return int(float64(tokens) / prefillRate * c.Estimate.Slowness())
+	return int(float64(tokens) / prefillRate * c.engineSlowness())
 }
 
-// loadCost returns the delay by the requests that are at the target, in milliseconds. Where the
-// target was observed, it also counts the pauses that the streams there are expected to have while
-// a prompt is read, and that slots may be taken that a router doesn't know of yet.
+// engineSlowness returns how many times as long as usual work takes at an engine. Below
+// noticeableSlowness it is 1: a small difference isn't worth that a prompt is read or copied again.
+func (c Candidate) engineSlowness() float64 {
+	if s := c.Estimate.Slowness(); s >= noticeableSlowness {
+		return s
+	}
+	return 1
+}
+
+// loadCost returns the delay by the requests that are at the target, in milliseconds. At a slow one
+// it also counts the pauses that the streams there are expected to have while a prompt is read.
 func loadCost(c Candidate) int {
-	ms := c.prefillCost(c.Load.prefillTokens) + int(float64(c.Load.requests*requestCost)*c.Estimate.Slowness())
-	if !c.Estimate.KnowsPauses() {
+	slowness := c.engineSlowness()
+	ms := int(float64(c.Load.prefillTokens/prefillRate+c.Load.requests*requestCost) * slowness)
+	if slowness == 1 || !c.Estimate.KnowsPauses() {
 		return ms
 	}
 	reading := readingFactor * c.Estimate.Predict(c.Load.requests, 0).Pause
-	ms += pauseWeight * int(max(reading-smoothPause, 0)/time.Millisecond)
-	return ms + fullCost*max(c.Load.requests-int(fullShare*float64(c.Target.Slots())), 0)
+	return ms + pauseWeight*int(max(reading-smoothPause, 0)/time.Millisecond)
 }
 
 // compareBool orders false before true.
