--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -181,13 +181,14 @@
 }
 
 // loadCost returns the delay by the requests that are at the target, in milliseconds. At a slow one
-// it also counts the pauses that the streams there are expected to have while a prompt is read.
+// prompts that are being read count prefillWeight times, as does what streams are expected to pause
+// meanwhile.
 func loadCost(c Candidate) int {
 	slowness := c.engineSlowness()
-	ms := int(float64(c.Load.prefillTokens/prefillRate+c.Load.requests*requestCost) * slowness)
 	if slowness == 1 || !c.Estimate.KnowsPauses() {
-		return ms
+		return int(float64(c.Load.prefillTokens/prefillRate+c.Load.requests*requestCost) * slowness)
 	}
+	ms := c.prefillCost(prefillWeight*c.Load.prefillTokens) + int(float64(c.Load.requests*requestCost)*slowness)
 	reading := readingFactor * c.Estimate.Predict(c.Load.requests, 0).Pause
 	return ms + pauseWeight*int(max(reading-smoothPause, 0)/time.Millisecond)
 }
