--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -29,7 +29,7 @@
 	smoothPause   = 300 * time.Millisecond
 	pauseWeight   = 30
 	// noticeableSlowness is the slowness from which on an engine counts as slow.
-	noticeableSlowness = 1.5
+	noticeableSlowness = 2
 	// noRoomCost is added for an engine that lately had no room, in milliseconds: more than the
 	// prefill of most prompts.
 	noRoomCost = 2000
