gateway tests: two races with real time, traced

TestUnreachableTarget: the target counts as suspect for a second and is then tried again. With 12 requests that take longer, a second attempt is right. With a pause of 1.1 s between two of them the old check failed in 6 of 6 runs with the figures that were seen (2 where 1 was expected). It now allows one attempt more for each time that the target has been suspect; within a second still exactly one. Passes 20 of 20, 10 of 10 with the pause, and fails 3 of 3 when a failed connect does not make a target suspect.

TestColdnessReachesPeers (failed twice beside load, 'target warm' was not logged): coldness is logged at intervals of 500 ms, and the test ended it before the next one. With an interval of 2.5 s it failed 3 of 3 at the same check after 5.8 s; waiting for the first line it passes 3 of 3.

--- a/cmd/router/gateway/cold_test.go
+++ b/cmd/router/gateway/cold_test.go
@@ -360,12 +360,17 @@
 	tell()
 	require.True(t, cold(to))
 	require.Equal(t, digest, from.g.versions().registryDigest, "coldness is not part of the digest")
+	logged := func(line string) func() bool {
+		return func() bool { return strings.Contains(from.logs.String(), line) }
+	}
+	// The log is written at intervals: it misses coldness that ends before.
+	require.Eventually(t, logged(`"target cold"`), waitTimeout, pollInterval)
 	target.SetCold(platformtest.Cold{MaxPerSecond: coldBound})
 	require.Eventually(t, func() bool {
 		tell()
 		return !cold(from) && !cold(to)
 	}, waitTimeout, 20*pollInterval)
-	require.Eventually(t, func() bool { return strings.Contains(from.logs.String(), `"target warm"`) }, waitTimeout, pollInterval)
+	require.Eventually(t, logged(`"target warm"`), waitTimeout, pollInterval)
 	require.Equal(t, 1, strings.Count(from.logs.String(), `"target cold"`))
 }
 
--- a/cmd/router/gateway/connections_test.go
+++ b/cmd/router/gateway/connections_test.go
@@ -113,16 +113,21 @@
 }
 
 // TestUnreachableTarget checks that a target that accepts no connections fails no
-// request, and is avoided after the first failure.
+// request, and is avoided after a failure for as long as it counts as suspect.
 func TestUnreachableTarget(t *testing.T) {
 	tr := newTestRouter(t)
 	targets := tr.addTargets(plainService, "p1", "p2", "p3")
 	tr.waitReady(3)
 	targets[0].Close()
+	start := time.Now()
 	for i := range 12 {
 		require.Equal(t, 200, tr.post("/once/x", name("a", i), "y").status)
 	}
-	require.Equal(t, 1, strings.Count(tr.logs.String(), `"outcome":"not sent"`))
+	// On a busy machine the requests take longer than the target is suspect: it is tried again then.
+	expired := int(time.Since(start) / suspectTime)
+	failures := strings.Count(tr.logs.String(), `"outcome":"not sent"`)
+	require.GreaterOrEqual(t, failures, 1)
+	require.LessOrEqual(t, failures, 1+expired)
 }
 
 // TestExtraResponse checks that an unsolicited second response on a connection is
