--- a/cmd/router/gateway/observe_capacity.go
+++ b/cmd/router/gateway/observe_capacity.go
@@ -199,11 +199,12 @@
 }
 
 // observationsTime returns the time of the observations that a datagram has: those since the peers
-// that get it may have got one before.
-func (p *peers) observationsTime() time.Duration {
+// that get it got one before. A change is sent to every peer several times at short intervals; with
+// the same observations each time, they were a quarter of all bytes between routers.
+func (p *peers) observationsTime(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.cycle()
+	return min(p.cycle(), now.Sub(p.sentToAll))
 }
 
 func observationsToProto(reports []capacity.Report) []*peer.TargetObservation {
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -45,8 +45,10 @@
 	idleIntervals int
 	lastSent      versions
 	repeatsLeft   int
-	versions      map[string]peerVersions
-	pending       []pendingPlacement
+	// sentToAll is when every peer was last sent a datagram at the same time.
+	sentToAll time.Time
+	versions  map[string]peerVersions
+	pending   []pendingPlacement
 	// shortageSince is since when too few peers get responses from the store; the
 	// zero time if enough do.
 	shortageSince time.Time
@@ -217,6 +219,9 @@
 func (p *peers) nextGroup(everyone bool) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if everyone {
+		p.sentToAll = p.clock.Now()
+	}
 	groups := p.groups()
 	p.group = (p.group + 1) % groups
 	out := make([]netip.AddrPort, 0, peersPerInterval)
--- a/cmd/router/gateway/peers_share_due.go
+++ b/cmd/router/gateway/peers_share_due.go
@@ -10,13 +10,17 @@
 // shareDue reports whether a datagram is due, and whether the versions have
 // changed, so that everyone must get it. Without requests in flight and changes
 // some intervals are skipped.
-func (p *peers) shareDue(busy bool, current versions) (due, changed bool) {
+//
+// A new version of the registry is sent to everyone only by the routers that follow the store:
+// each of the others has it from one of them. Sent on by all, it was most of the bytes between
+// 131 routers. Every router does so with a routing table, as the routers that have it pass it on.
+func (p *peers) shareDue(busy, followsStore bool, current versions) (due, changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if current != p.lastSent {
-		p.lastSent = current
+	if current.table != p.lastSent.table || current != p.lastSent && followsStore {
 		p.repeatsLeft = changeRepeats
 	}
+	p.lastSent = current
 	p.idleIntervals++
 	changed = p.repeatsLeft > 0
 	if !busy && !changed && p.idleIntervals < idleShareIntervals/p.groups() {
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -36,7 +36,7 @@
 // sendShare sends this router's loads and versions to the peers whose turn it is.
 func (g *Gateway) sendShare(now time.Time) {
 	own := g.loads.Own()
-	due, changed := g.peers.shareDue(len(own) > 0, g.versions())
+	due, changed := g.peers.shareDue(len(own) > 0, g.watchers.registry.fresh(), g.versions())
 	if !due {
 		return
 	}
@@ -75,7 +75,7 @@
 	out.Evacuations = g.evacuationNews(now)
 	out.Limits = limitsToProto(g.limits.OwnReports(g.peers.newsTime(), now))
 	out.Limits = append(out.Limits, coldLimitsToProto(g.limits.OwnColdReports(now))...)
-	out.Observations = observationsToProto(g.capacity.Own(g.peers.observationsTime(), now))
+	out.Observations = observationsToProto(g.capacity.Own(g.peers.observationsTime(now), now))
 	for _, p := range g.peers.recentPlacements(now) {
 		out.Placements = append(out.Placements, &peer.Placement{Prompt: p.Prompt, Target: uint64(p.Target)})
 	}
--- a/cmd/router/gateway/share_test.go
+++ b/cmd/router/gateway/share_test.go
@@ -10,6 +10,7 @@
 	"vanillalug.example/defect"
 	"vanillalug.example/fitting"
 	"vanillalug.example/quota"
+	"vanillalug.example/schedule"
 	"vanillalug.example/share"
 )
 
@@ -37,3 +38,49 @@
 	require.Less(t, len(message), maxDatagram)
 	require.Greater(t, len(message), maxDatagram/2, "the share has all of its kinds of content")
 }
+
+// TestNewVersionsAreSentToEveryone guards against most of the bytes between many routers being news of the
+// registry that each of them sends on, and against a routing table, or news read from the store, waiting for its turn.
+func TestNewVersionsAreSentToEveryone(t *testing.T) {
+	tests := map[string]struct {
+		followsStore bool
+		next         versions
+		want         int
+	}{
+		"registry, from the store": {true, versions{table: 1, registryDigest: 2}, changeRepeats},
+		"registry, from a peer":    {false, versions{table: 1, registryDigest: 2}, 0},
+		"table, from the store":    {true, versions{table: 2, registryDigest: 1}, changeRepeats},
+		"table, from a peer":       {false, versions{table: 2, registryDigest: 1}, changeRepeats},
+		"nothing new":              {true, versions{table: 1, registryDigest: 1}, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := newPeers(schedule.NewSystem())
+			for range changeRepeats {
+				p.shareDue(true, true, versions{table: 1, registryDigest: 1})
+			}
+			sent := 0
+			for range 2 * changeRepeats {
+				due, everyone := p.shareDue(true, tt.followsStore, tt.next)
+				require.True(t, due)
+				if everyone {
+					sent++
+				}
+			}
+			require.Equal(t, tt.want, sent)
+		})
+	}
+}
+
+// TestObservationsAreSentOnce guards against a change that goes to every peer several times having the
+// same observations each time.
+func TestObservationsAreSentOnce(t *testing.T) {
+	p := newPeers(schedule.NewSystem())
+	for i := range 131 {
+		p.known[name("r", i)] = &peerRouter{}
+	}
+	require.Equal(t, p.cycle(), p.observationsTime(time.Now()), "nothing was sent yet")
+	p.nextGroup(true)
+	require.Less(t, p.observationsTime(p.sentToAll.Add(shareInterval)), 2*shareInterval)
+	require.Equal(t, p.cycle(), p.observationsTime(p.sentToAll.Add(time.Minute)))
+}
