--- a/cmd/router/gateway/view_test.go
+++ b/cmd/router/gateway/view_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,7 +156,9 @@
 	require.Eventually(t, func() bool {
 		return b.g.cacheIndex.Cached(7, []fitting.Key{engine}, time.Now())[0]
 	}, waitTimeout, pollInterval)
-	require.Contains(t, b.logs.String(), `"@message":"placements recalled"`)
+	require.Eventually(t, func() bool {
+		return strings.Contains(b.logs.String(), `"@message":"placements recalled"`)
+	}, waitTimeout, pollInterval, "it is logged after the placements are recorded")
 }
 
 // TestWarmUpFromEngines checks that after a restart of all routers a seed queries
