Fleet document: places may be evacuated

The own interface could not take a failure domain out of use: operators had to mark each engine and target as leaving, and to undo it one by one.

A place section may say "evacuated = yes". The canonical form has the key only then, so that digests of other documents stay as they are. It needs rules level 3: older builds reject a document with a key that they don't know and go on with the one before, so publishing has to be refused while one of them is running.

--- a/fleet.go
+++ b/fleet.go
@@ -27,6 +27,7 @@
 	sharingByEngine      map[string][]Engine
 	enginesByModel       map[string][]Engine
 	targetsByService     map[string][]Target
+	evacuated            map[string]bool
 }
 
 // Name returns the name of the fleet.
@@ -82,6 +83,12 @@
 	return e, ok
 }
 
+// Target returns the target of an application service with the name.
+func (f *Fleet) Target(name string) (Target, bool) {
+	t, ok := f.targets[name]
+	return t, ok
+}
+
 // Workspace returns the workspace with the name.
 func (f *Fleet) Workspace(name string) (Workspace, bool) {
 	w, ok := f.workspaces[name]
--- a/fleet_canonical.go
+++ b/fleet_canonical.go
@@ -20,6 +20,11 @@
 	for _, p := range f.Places() {
 		w.section("place", p.name)
 		w.key("region", p.region)
+		if p.evacuated {
+			// Left out otherwise, so that the digest of documents without the key is the
+			// same at older builds, which don't know it.
+			w.key("evacuated", yesNo(p.evacuated))
+		}
 	}
 	for _, c := range f.Classes() {
 		w.class(c)
--- a/fleet_index.go
+++ b/fleet_index.go
@@ -7,6 +7,12 @@
 	f.enginesByModel = map[string][]Engine{}
 	f.sharingByEngine = map[string][]Engine{}
 	f.targetsByService = map[string][]Target{}
+	f.evacuated = map[string]bool{}
+	for name, p := range f.places {
+		if p.evacuated {
+			f.evacuated[name] = true
+		}
+	}
 	f.engineList = sortedValues(f.engines)
 	f.targetList = sortedValues(f.targets)
 	engines := f.engineList
--- a/fleet_read.go
+++ b/fleet_read.go
@@ -43,6 +43,7 @@
 	f.targets = readAll(in, "target", readTarget)
 	f.workspaces = readAll(in, "workspace", readWorkspace)
 	f.readCalls(in)
+	f.checkRulesLevel(in)
 	f.checkReferences(in)
 	f.checkKeys(in)
 	if err := in.Err(); err != nil {
--- a/reception/status_body.go
+++ b/reception/status_body.go
@@ -29,4 +29,14 @@
 	Ready            bool   `json:"ready"`
 	State            string `json:"state,omitempty"`
 	OpenRequests     int    `json:"open-requests"`
+	// EvacuatedPlaces is nil, and left out, if the router's build doesn't state them.
+	EvacuatedPlaces []EvacuatedPlaceBody `json:"evacuated-places,omitzero"`
+}
+
+// EvacuatedPlaceBody is an evacuated place as one router sees it. EvacuatedMS is nil if
+// the router started after the place was evacuated.
+type EvacuatedPlaceBody struct {
+	Place       string `json:"place"`
+	EvacuatedMS *int64 `json:"evacuated-ms,omitempty"`
+	InFlight    int    `json:"in-flight"`
 }
--- a/rules_level.go
+++ b/rules_level.go
@@ -7,12 +7,15 @@
 //
 //   - PlainRank ranks engines by rendezvous hashing.
 //   - WeightedRank ranks them by rendezvous hashing weighted by their slots.
+//   - EvacuatedPlaces allows the key "evacuated" of places. Builds that don't support
+//     it reject a document with the key and go on with the one before.
 const (
-	PlainRank    = 1
-	WeightedRank = 2
+	PlainRank       = 1
+	WeightedRank    = 2
+	EvacuatedPlaces = 3
 
 	LowestRulesLevel  = PlainRank
-	HighestRulesLevel = WeightedRank
+	HighestRulesLevel = EvacuatedPlaces
 )
 
 // LevelRange is the range of rules levels that a build supports.
