Own interface: engines and targets of evacuated places get no new requests

A document may say that a place is evacuated, and nothing acted on it.

Every choice asks Fleet.Evacuated of the active document: the engines that a chat may use, admission at the owner of an engine, the pool and the alternatives of a desk, redirects, workers, and again when a request leaves a queue, a claim has been written or a broken stream would be opened again. Desks of evacuated engines are closed, so that queued requests are placed elsewhere at once. What is known of cached chats stays. A model or service that is evacuated everywhere is refused with 503 and the code "evacuated".

"vanillalug evacuate" and "restore" publish the change; "status" shows the places, since when each router knows, and the requests that still run there.

--- a/cmd/router/handlers/operators.go
+++ b/cmd/router/handlers/operators.go
@@ -5,6 +5,7 @@
 
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/cmd/router/office"
+	"vanillalug.example/peer"
 	"vanillalug.example/reception"
 )
 
@@ -79,9 +80,27 @@
 	b.Ready = s.GetReady()
 	b.State = s.GetState()
 	b.OpenRequests = int(s.GetOpenRequests())
+	b.EvacuatedPlaces = evacuatedPlaces(s.GetEvacuations())
 	return b
 }
 
+// evacuatedPlaces returns nil if the router doesn't state which places are evacuated.
+func evacuatedPlaces(e *peer.Evacuations) []reception.EvacuatedPlaceBody {
+	if e == nil {
+		return nil
+	}
+	out := []reception.EvacuatedPlaceBody{}
+	for _, p := range e.GetPlaces() {
+		b := reception.EvacuatedPlaceBody{Place: p.GetPlace(), InFlight: int(p.GetInFlight())}
+		if p.EvacuatedMs != nil {
+			ms := int64(p.GetEvacuatedMs())
+			b.EvacuatedMS = &ms
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
 func (o *OperatorAPI) drain(w http.ResponseWriter, _ *http.Request) {
 	o.shutdown()
 	w.WriteHeader(http.StatusAccepted)
--- a/cmd/router/office/admit.go
+++ b/cmd/router/office/admit.go
@@ -27,6 +27,9 @@
 	if !ok {
 		return EngineUnavailable{Reason: "not in the fleet document"}
 	}
+	if f.Evacuated(e.Place()) {
+		return evacuatedResult(q)
+	}
 	es := r.engineState(ctx, e)
 	if q.Resume {
 		return r.resume(ctx, es, e, q, sink)
@@ -45,6 +48,15 @@
 	return r.queue(ctx, f, es, e, q, chat, cached, sink)
 }
 
+// evacuatedResult is the result at an engine of an evacuated place. A response that was
+// interrupted can't go on, as only this engine has the rest of it.
+func evacuatedResult(q courier.RelayRequest) Result {
+	if q.Resume {
+		return Interrupted{Reason: reasonEvacuated}
+	}
+	return EngineUnavailable{Reason: reasonEvacuated}
+}
+
 // admissible checks that this router may admit the request and that its fleet
 // document is not older than the sender's. Otherwise it returns a result.
 func (r *Router) admissible(ctx context.Context, q courier.RelayRequest) (*vanillalug.Fleet, Result) {
@@ -100,6 +112,10 @@
 			return nil, e.Cached
 		case dispatch.Redirect:
 			target, known := f.Engine(e.Engine)
+			if known && f.Evacuated(target.Place()) {
+				// The entry stays for the return, unless the chat is served elsewhere.
+				return nil, false
+			}
 			if known && target.Serves(q.Model) && r.condition(e.Engine) == dispatch.Up {
 				return Redirected{Engine: e.Engine, Speculative: e.Speculative}, false
 			}
@@ -146,6 +162,9 @@
 				return rejected(d)
 			case desk.Admit:
 				defer es.handle(desk.Finished{ID: q.Request})
+				if r.evacuated(e.Place()) {
+					return EngineUnavailable{Reason: reasonEvacuated}
+				}
 				es.cacheIndex.Handle(dispatch.Admitted{Chat: chat})
 				sink.Admitted(e.Name(), d.Waited)
 				return r.start(ctx, es, e, f, q, sink)
@@ -211,7 +230,7 @@
 	now := r.clock.Now()
 	engines, load := 0, 0
 	for _, other := range f.EnginesSharingModel(e) {
-		if r.condition(other.Name()) != dispatch.Up {
+		if f.Evacuated(other.Place()) || r.condition(other.Name()) != dispatch.Up {
 			continue
 		}
 		engines++
@@ -235,7 +254,7 @@
 	var out []desk.Alternative
 	for _, name := range q.Others {
 		e, ok := f.Engine(name)
-		if !ok || r.condition(name) != dispatch.Up {
+		if !ok || f.Evacuated(e.Place()) || r.condition(name) != dispatch.Up {
 			continue
 		}
 		out = append(out, desk.NewAlternative(name, r.loadOf(name, now), e.Slots()))
--- a/cmd/router/office/configuration.go
+++ b/cmd/router/office/configuration.go
@@ -60,6 +60,7 @@
 	r.log.Info("fleet document activated", "version", e.Head.Version(), "digest", e.Head.Digest()[:12],
 		"rules-level", e.Fleet.RulesLevel())
 	r.refreshOwners()
+	r.applyEvacuations()
 	r.PollTargets(r.clock.Now())
 }
 
--- a/cmd/router/office/engine_state.go
+++ b/cmd/router/office/engine_state.go
@@ -28,6 +28,9 @@
 	lastEvent uint64
 	syncing   bool
 	lastUsed  time.Time
+
+	// evacuated is guarded by evacuations.mu of the router.
+	evacuated bool
 }
 
 // markReady marks that the engine was polled for its load at least once.
--- a/cmd/router/office/non_idempotent_call.go
+++ b/cmd/router/office/non_idempotent_call.go
@@ -121,14 +121,18 @@
 	if !n.protocol.MayDispatch() {
 		return &ClaimExpiredError{}
 	}
+	if place := n.target.Place(); n.router.evacuated(place) {
+		return &PlaceEvacuatedError{Place: place}
+	}
 	return nil
 }
 
 // queryOutcome queries the target that the claim names for the outcome of the call.
 func (n *nonIdempotentCall) queryOutcome(c ledger.Claim) ledger.Event {
 	address := ""
-	for _, t := range n.router.Fleet().TargetsFor(c.Service()) {
-		if t.Name() == c.Target() {
+	f := n.router.Fleet()
+	for _, t := range f.TargetsFor(c.Service()) {
+		if t.Name() == c.Target() && !f.Evacuated(t.Place()) {
 			address = t.Address()
 		}
 	}
--- a/cmd/router/office/router.go
+++ b/cmd/router/office/router.go
@@ -43,6 +43,7 @@
 	targets      targetTable
 	relays       relayTable
 	ownership    ownership
+	evacuations  evacuations
 	journal      *journal
 	inFlight     inFlightCounts
 
--- a/cmd/router/office/run.go
+++ b/cmd/router/office/run.go
@@ -119,6 +119,9 @@
 	if old != nil {
 		old.Close()
 	}
+	if r.evacuated(e.Place()) {
+		return nil
+	}
 	s, err := r.engines.Resume(ctx, e.Address(), request, offset)
 	if err != nil {
 		return nil
--- a/cmd/router/office/service_call.go
+++ b/cmd/router/office/service_call.go
@@ -66,8 +66,13 @@
 func (r *Router) callIdempotent(ctx context.Context, c Call) (Response, *vanillalug.Problem) {
 	r.budget.Deposit(c.Workspace.Name(), r.Fleet().RetryRatio())
 	tried := map[string]bool{}
+	var lastErr error
 	for attempt := 0; ; attempt++ {
 		t, ok := r.pickWorker(c.Service.Name(), tried)
+		if !ok && lastErr != nil && r.Fleet().ServiceEvacuated(c.Service.Name()) {
+			// The attempt before may have run.
+			return Response{}, r.callFailedProblem(lastErr)
+		}
 		if !ok {
 			return Response{}, r.noWorkerProblem(c)
 		}
@@ -76,6 +81,7 @@
 		if err == nil {
 			return a, nil
 		}
+		lastErr = err
 		meter.Count("service_failures", "target", t.Name())
 		if ctx.Err() != nil || attempt >= maxAttempts-1 || !r.budget.Withdraw(c.Workspace.Name()) {
 			return Response{}, r.callFailedProblem(err)
@@ -105,9 +111,10 @@
 // preferring those that were not tried.
 func (r *Router) pickWorker(service string, tried map[string]bool) (vanillalug.Target, bool) {
 	var candidates, alreadyTried []vanillalug.Target
-	for _, t := range r.Fleet().TargetsFor(service) {
+	f := r.Fleet()
+	for _, t := range f.TargetsFor(service) {
 		switch {
-		case t.Leaving() || r.workerCondition(t.Name()) != dispatch.Up:
+		case t.Leaving() || f.Evacuated(t.Place()) || r.workerCondition(t.Name()) != dispatch.Up:
 		case tried[t.Name()]:
 			alreadyTried = append(alreadyTried, t)
 		default:
@@ -135,6 +142,9 @@
 }
 
 func (r *Router) noWorkerProblem(c Call) *vanillalug.Problem {
+	if r.Fleet().ServiceEvacuated(c.Service.Name()) {
+		return r.evacuatedProblem("service " + c.Service.Name())
+	}
 	return vanillalug.NewProblem(http.StatusServiceUnavailable, "no-target",
 		"no worker of service "+c.Service.Name()+" takes new work",
 		vanillalug.WithRetryAfter(r.jitter(retryAfter)))
--- a/cmd/router/office/status.go
+++ b/cmd/router/office/status.go
@@ -34,6 +34,7 @@
 	}
 	if f := r.register.Fleet(); f != nil {
 		s.RulesLevel = uint32(f.RulesLevel())
+		s.Evacuations = r.evacuationStatus(f)
 		s.InForceMs = uint64(r.clock.Now().Sub(r.register.ActiveSince()).Milliseconds())
 	}
 	return s
--- a/cmd/router/office/transaction.go
+++ b/cmd/router/office/transaction.go
@@ -53,7 +53,7 @@
 func (r *Router) usableEngines(f *vanillalug.Fleet, model string) []vanillalug.Engine {
 	var out []vanillalug.Engine
 	for _, e := range f.EnginesFor(model) {
-		if !e.Leaving() && r.condition(e.Name()) == dispatch.Up {
+		if !e.Leaving() && !f.Evacuated(e.Place()) && r.condition(e.Name()) == dispatch.Up {
 			out = append(out, e)
 		}
 	}
@@ -210,7 +210,20 @@
 	if t.sink.started {
 		return t.interrupted("no engine is left")
 	}
+	if t.router.Fleet().ModelEvacuated(t.chat.Model) {
+		return t.evacuatedProblem()
+	}
 	return vanillalug.NewProblem(http.StatusServiceUnavailable, "no-engine",
 		fmt.Sprintf("no engine for model %q takes new work", t.chat.Model),
 		vanillalug.WithRetryAfter(t.router.jitter(retryAfter)))
 }
+
+// evacuatedProblem refuses a chat whose engines are in evacuated places. An attempt
+// before may have run.
+func (t *transaction) evacuatedProblem() *vanillalug.Problem {
+	what := fmt.Sprintf("model %q", t.chat.Model)
+	if t.attempts > 1 {
+		return t.interrupted(what + " is evacuated")
+	}
+	return t.router.evacuatedProblem(what)
+}
--- a/cmd/router/office/watch.go
+++ b/cmd/router/office/watch.go
@@ -28,6 +28,8 @@
 	if f == nil {
 		return
 	}
+	// Covers engines whose state is new, and the gauges.
+	r.applyEvacuations()
 	for _, e := range f.Engines() {
 		owned := r.owns(e.Name())
 		es, ok := r.engineStates.get(e.Name())
--- a/cmd/vanillalug/main.go
+++ b/cmd/vanillalug/main.go
@@ -23,6 +23,8 @@
     rollback   publish an older version again, as the next version
     status     show the active version of every router
     drain      take an engine, a target or a router out of service
+    evacuate   take a place (failure domain) out of use
+    restore    take an evacuated place back
     claims     list calls whose outcome is not recorded
     settle     record the outcome of such a call by hand
     explain    show from logs how a request was handled
@@ -67,6 +69,8 @@
 		{"rollback", usageRollback, runRollback},
 		{"status", usageStatus, runStatus},
 		{"drain", usageDrain, runDrain},
+		{"evacuate", usageEvacuate, runEvacuate},
+		{"restore", usageRestore, runRestore},
 		{"claims", usageClaims, runClaims},
 		{"settle", usageSettle, runSettle},
 		{"explain", usageExplain, runExplain},
--- a/cmd/vanillalug/status.go
+++ b/cmd/vanillalug/status.go
@@ -20,8 +20,9 @@
 Status queries one router, which queries all the others. It shows for each its
 build, the rules levels that it supports, the version, digest and rules level of
 its active fleet document, how long the document has been active, and whether
-the router is ready. The last line says whether all routers have the same
-document.
+the router is ready. A second table has the evacuated places: for how long each
+router has known it ("unknown" if it started later), and how many of its requests
+still run there. The last line says whether all routers have the same document.
 
 Exit codes: 0 when every router answered and all have the same active version,
 4 otherwise.
@@ -120,6 +121,7 @@
 			r.LowestLevel, r.HighestLevel, r.Version, r.Digest, r.RulesLevel, since.Round(time.Second), readyText(r))
 	}
 	_ = w.Flush()
+	printEvacuations(out, s)
 	if consistent(s) {
 		fmt.Fprintf(out, "the fleet agrees: version %d, rules level %d\n", s.Routers[0].Version, s.Routers[0].RulesLevel)
 		return
--- a/desk/controller.go
+++ b/desk/controller.go
@@ -82,6 +82,14 @@
 	return c.load(c.clock.Now())
 }
 
+// Running returns the number of requests that this Controller admitted and that have
+// not finished.
+func (c *Controller) Running() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.running)
+}
+
 // Waiting returns the number of requests in the queue.
 func (c *Controller) Waiting() int {
 	c.mu.Lock()
