--- a/cmd/router/office/service_call.go
+++ b/cmd/router/office/service_call.go
@@ -69,7 +69,7 @@
 	var lastErr error
 	for attempt := 0; ; attempt++ {
 		t, ok := r.pickWorker(c.Service.Name(), tried)
-		if !ok && lastErr != nil && r.Fleet().ServiceEvacuated(c.Service.Name()) {
+		if !ok && lastErr != nil {
 			// The attempt before may have run.
 			return Response{}, r.callFailedProblem(lastErr)
 		}
--- a/cmd/router/office/transaction.go
+++ b/cmd/router/office/transaction.go
@@ -207,23 +207,14 @@
 const statusClientClosedRequest = 499
 
 func (t *transaction) noEngineProblem() *vanillalug.Problem {
-	if t.sink.started {
+	if t.sink.started || t.attempts > 1 {
+		// The attempt before may have run.
 		return t.interrupted("no engine is left")
 	}
 	if t.router.Fleet().ModelEvacuated(t.chat.Model) {
-		return t.evacuatedProblem()
+		return t.router.evacuatedProblem(fmt.Sprintf("model %q", t.chat.Model))
 	}
 	return vanillalug.NewProblem(http.StatusServiceUnavailable, "no-engine",
 		fmt.Sprintf("no engine for model %q takes new work", t.chat.Model),
 		vanillalug.WithRetryAfter(t.router.jitter(retryAfter)))
 }
-
-// evacuatedProblem refuses a chat whose engines are in evacuated places. An attempt
-// before may have run.
-func (t *transaction) evacuatedProblem() *vanillalug.Problem {
-	what := fmt.Sprintf("model %q", t.chat.Model)
-	if t.attempts > 1 {
-		return t.interrupted(what + " is evacuated")
-	}
-	return t.router.evacuatedProblem(what)
-}
