--- a/desk/controller_test.go
+++ b/desk/controller_test.go
@@ -166,3 +166,22 @@
 	c.Handle(LoadReported{InFlight: 4, Age: 100 * time.Millisecond})
 	require.Equal(t, 2, c.Load())
 }
+
+// TestClosedAndReopened guards against a closed controller that admits what waits or
+// arrives, that loses count of what runs, or that stays closed after it is resized.
+func TestClosedAndReopened(t *testing.T) {
+	c, _ := newController(1)
+	arrive(c, "a", "w")
+	arrive(c, "b", "w")
+	require.Equal(t, 1, c.Running())
+	rejected, ok := c.Handle(Closed{})[0].(Reject)
+	require.True(t, ok)
+	require.Equal(t, "b", rejected.ID)
+	require.Equal(t, EngineClosed, rejected.Reason)
+	require.Equal(t, 1, c.Running())
+	require.Empty(t, c.Handle(Finished{ID: "a"}))
+	require.Zero(t, c.Running())
+	require.IsType(t, Reject{}, arrive(c, "c", "w")[0])
+	c.Handle(Resized{Slots: 1})
+	require.Equal(t, Admit{ID: "d"}, arrive(c, "d", "w")[0])
+}
