--- a/cmd/router/office/evacuation_test.go
+++ b/cmd/router/office/evacuation_test.go
@@ -444,11 +444,13 @@
 		detail    string
 	}{
 		"model with its engines in evacuated places": {
-			[]string{"near"}, func(f *evacuationFleet) *vanillalug.Problem { return f.chat("first", "c1") },
+			[]string{"near"},
+			func(f *evacuationFleet) *vanillalug.Problem { return f.chat("first", "c1") },
 			"evacuated", `model "first" is evacuated`,
 		},
 		"all places": {
-			[]string{"near", "far"}, func(f *evacuationFleet) *vanillalug.Problem { return f.chat("small", "c1") },
+			[]string{"near", "far"},
+			func(f *evacuationFleet) *vanillalug.Problem { return f.chat("small", "c1") },
 			"evacuated", `model "small" is evacuated`,
 		},
 		"retryable call": {
