Own interface: evacuations are checked again when a request's connection is open

Opening a connection takes up to a second, in which a document may become active that evacuates the place. The dialer asks a check of the request's context after it has connected; a failure counts as a dial error, so that nothing was sent. Engines and calls that run once never reuse connections, so all of their requests are covered. The engine isn't counted as failing.

A retryable call whose earlier attempts certainly were not sent keeps the run state not-run.

--- a/cmd/router/office/evacuation.go
+++ b/cmd/router/office/evacuation.go
@@ -1,6 +1,7 @@
 package office
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/desk"
 	"vanillalug.example/peer"
+	"vanillalug.example/reception"
 )
 
 // reasonEvacuated is the reason of results at engines of evacuated places.
@@ -39,6 +41,17 @@
 	return f != nil && f.Evacuated(place)
 }
 
+// whileInUse returns a context for requests to a place, which fail with a
+// *PlaceEvacuatedError if it is evacuated when their connection is open.
+func (r *Router) whileInUse(ctx context.Context, place string) context.Context {
+	return reception.WithConnectCheck(ctx, func() error {
+		if r.evacuated(place) {
+			return &PlaceEvacuatedError{Place: place}
+		}
+		return nil
+	})
+}
+
 // applyEvacuations carries out what the active document says of evacuated places. It
 // doesn't take the document as an argument: activations of two versions may be handled
 // in reverse order.
--- a/cmd/router/office/evacuation_test.go
+++ b/cmd/router/office/evacuation_test.go
@@ -152,7 +152,7 @@
 	return l.w.Write(p)
 }
 
-func newEvacuationFleet(t *testing.T) *evacuationFleet {
+func newEvacuationFleet(t *testing.T, opts ...func(*evacuationFleet, *Dependencies)) *evacuationFleet {
 	f := &evacuationFleet{
 		t: t, engines: newRecordingEngine(), table: newFakeTable(),
 		log: &bytes.Buffer{}, logMu: &sync.Mutex{}, calls: map[string]*atomic.Int64{},
@@ -197,11 +197,15 @@
 class = c
 `, firstEngine, secondEngine, f.startTarget("t1"), f.startTarget("t2"), vanillalug.KeyDigest("w"))
 	log := hclog.New(&hclog.LoggerOptions{Output: lockedWriter{mu: f.logMu, w: f.log}})
-	f.Router = New(Identity{Name: "r1", Place: "near", Levels: vanillalug.SupportedLevels()}, Dependencies{
+	deps := Dependencies{
 		Clock: schedule.NewSystem(), Log: log, Engines: f.engines, Table: f.table,
 		Calls: courier.NewHTTPService(reception.NewClient("pooled"),
 			reception.NewClient("unpooled", reception.WithoutConnectionReuse()), reception.NewClient("reports")),
-	})
+	}
+	for _, opt := range opts {
+		opt(f, &deps)
+	}
+	f.Router = New(Identity{Name: "r1", Place: "near", Levels: vanillalug.SupportedLevels()}, deps)
 	f.activate()
 	return f
 }
@@ -357,6 +361,72 @@
 	require.Zero(t, f.calls["t1"].Load())
 }
 
+// lateEngine sends requests to a server of its own, after a function was called.
+type lateEngine struct {
+	*recordingEngine
+	http    *courier.HTTPEngine
+	address string
+	before  func()
+}
+
+func (e *lateEngine) Start(ctx context.Context, _ string, q courier.ChatCall) (courier.Stream, error) {
+	e.before()
+	return e.http.Start(ctx, e.address, q)
+}
+
+// lateService calls a function before it sends a call.
+type lateService struct {
+	courier.Service
+	before func()
+}
+
+func (s *lateService) Call(ctx context.Context, address string, c courier.ServiceCall) (courier.ServiceResponse, error) {
+	s.before()
+	return s.Service.Call(ctx, address, c)
+}
+
+// evacuateWhileConnecting evacuates all places when a request is about to be sent.
+func evacuateWhileConnecting(f *evacuationFleet, deps *Dependencies) {
+	evacuate := func() { f.activate("near", "far") }
+	client := reception.NewClient("late", courier.EngineConnections())
+	deps.Engines = &lateEngine{
+		recordingEngine: f.engines, http: courier.NewHTTPEngine(client, nil, nil, time.Second, time.Second),
+		address: f.startTarget("e1"), before: evacuate,
+	}
+	deps.Calls = &lateService{Service: deps.Calls, before: evacuate}
+}
+
+// TestEvacuatedWhileConnecting guards against a request that is sent because the place was
+// evacuated only while its connection was being opened. It has not run.
+func TestEvacuatedWhileConnecting(t *testing.T) {
+	tests := map[string]func(*testing.T, *evacuationFleet){
+		"chat": func(t *testing.T, f *evacuationFleet) {
+			result := f.Admit(t.Context(), f.relayed("q1"), newDiscardSink())
+			require.Equal(t, EngineUnavailable{Reason: reasonEvacuated}, result)
+			require.Equal(t, dispatch.Up, f.condition("e1"))
+		},
+		"retryable call": func(t *testing.T, f *evacuationFleet) {
+			f.budget.Deposit("w", 1)
+			_, p := f.call(http.MethodGet, "/crews/1")
+			require.Equal(t, "evacuated", p.Code())
+		},
+		"call that runs once": func(t *testing.T, f *evacuationFleet) {
+			_, p := f.call(http.MethodPost, "/deposits/1")
+			require.Equal(t, http.StatusServiceUnavailable, p.Status())
+			require.Equal(t, vanillalug.NotRun, p.RunState())
+		},
+	}
+	for name, run := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newEvacuationFleet(t, evacuateWhileConnecting)
+			run(t, f)
+			for name, n := range f.calls {
+				require.Zero(t, n.Load(), name)
+			}
+		})
+	}
+}
+
 // TestQueuedAtEvacuatedEngine guards against a desk that goes on to admit requests that
 // were queued before the evacuation, and against one that stays closed after the return.
 // The request that runs completes.
@@ -366,6 +436,7 @@
 	results := make(chan Result, 2)
 	go func() { results <- f.Admit(t.Context(), f.relayed("q1"), running) }()
 	require.Equal(t, "e1", <-running.admitted)
+	require.Eventually(t, func() bool { return f.engines.startsAt(firstEngine) == 1 }, 5*time.Second, time.Millisecond)
 	go func() { results <- f.Admit(t.Context(), f.relayed("q2"), queued) }()
 	<-queued.queued
 	f.activate("near")
--- a/cmd/router/office/non_idempotent_call.go
+++ b/cmd/router/office/non_idempotent_call.go
@@ -129,11 +129,11 @@
 
 // queryOutcome queries the target that the claim names for the outcome of the call.
 func (n *nonIdempotentCall) queryOutcome(c ledger.Claim) ledger.Event {
-	address := ""
+	address, place := "", ""
 	f := n.router.Fleet()
 	for _, t := range f.TargetsFor(c.Service()) {
 		if t.Name() == c.Target() && !f.Evacuated(t.Place()) {
-			address = t.Address()
+			address, place = t.Address(), t.Place()
 		}
 	}
 	if address == "" {
@@ -141,7 +141,7 @@
 	}
 	ctx, done := detachedContext(outcomeTimeout)
 	defer done()
-	a, err := n.router.calls.Outcome(ctx, address, n.call.Service.OutcomePath(), c.Workspace(), c.Key())
+	a, err := n.router.calls.Outcome(n.router.whileInUse(ctx, place), address, n.call.Service.OutcomePath(), c.Workspace(), c.Key())
 	if err != nil {
 		return ledger.OutcomeUnknown{}
 	}
--- a/cmd/router/office/run.go
+++ b/cmd/router/office/run.go
@@ -24,7 +24,7 @@
 		priority = c.Priority()
 	}
 	call := courier.ChatCall{Request: q.Request, Chat: chat, Priority: priority, Body: q.Body}
-	s, err := r.engines.Start(ctx, e.Address(), call)
+	s, err := r.engines.Start(r.whileInUse(ctx, e.Place()), e.Address(), call)
 	if err != nil {
 		return r.startError(ctx, es, err)
 	}
@@ -37,9 +37,12 @@
 func (r *Router) startError(ctx context.Context, es *engineState, err error) Result {
 	var unsent *courier.UnsentError
 	var status *courier.StatusError
+	var evacuated *PlaceEvacuatedError
 	switch {
 	case ctx.Err() != nil:
 		return CallerDisconnected{}
+	case errors.As(err, &evacuated):
+		return EngineUnavailable{Reason: reasonEvacuated}
 	case errors.As(err, &unsent):
 		es.health.RecordFailure()
 		return EngineUnavailable{Reason: "unreachable"}
@@ -56,7 +59,7 @@
 func (r *Router) resume(ctx context.Context, es *engineState, e vanillalug.Engine, q courier.RelayRequest, sink Sink) Result {
 	es.handle(desk.Adopted{Request: desk.NewRequest(q.Request, q.Workspace)})
 	defer es.handle(desk.Finished{ID: q.Request})
-	s, err := r.engines.Resume(ctx, e.Address(), q.Request, q.Offset)
+	s, err := r.engines.Resume(r.whileInUse(ctx, e.Place()), e.Address(), q.Request, q.Offset)
 	if err != nil {
 		return Interrupted{Reason: err.Error()}
 	}
@@ -122,7 +125,7 @@
 	if r.evacuated(e.Place()) {
 		return nil
 	}
-	s, err := r.engines.Resume(ctx, e.Address(), request, offset)
+	s, err := r.engines.Resume(r.whileInUse(ctx, e.Place()), e.Address(), request, offset)
 	if err != nil {
 		return nil
 	}
--- a/cmd/router/office/service_call.go
+++ b/cmd/router/office/service_call.go
@@ -66,12 +66,11 @@
 func (r *Router) callIdempotent(ctx context.Context, c Call) (Response, *vanillalug.Problem) {
 	r.budget.Deposit(c.Workspace.Name(), r.Fleet().RetryRatio())
 	tried := map[string]bool{}
-	var lastErr error
+	var mayHaveRun error
 	for attempt := 0; ; attempt++ {
 		t, ok := r.pickWorker(c.Service.Name(), tried)
-		if !ok && lastErr != nil {
-			// The attempt before may have run.
-			return Response{}, r.callFailedProblem(lastErr)
+		if !ok && mayHaveRun != nil {
+			return Response{}, r.callFailedProblem(mayHaveRun)
 		}
 		if !ok {
 			return Response{}, r.noWorkerProblem(c)
@@ -81,7 +80,9 @@
 		if err == nil {
 			return a, nil
 		}
-		lastErr = err
+		if !isUnsent(err) {
+			mayHaveRun = err
+		}
 		meter.Count("service_failures", "target", t.Name())
 		if ctx.Err() != nil || attempt >= maxAttempts-1 || !r.budget.Withdraw(c.Workspace.Name()) {
 			return Response{}, r.callFailedProblem(err)
@@ -97,7 +98,7 @@
 
 func (r *Router) sendCall(ctx context.Context, t vanillalug.Target, c Call, atMostOnce bool, beforeSend func() error) (Response, error) {
 	defer r.targets.begin(t.Name())()
-	w, err := r.calls.Call(ctx, t.Address(), courier.ServiceCall{
+	w, err := r.calls.Call(r.whileInUse(ctx, t.Place()), t.Address(), courier.ServiceCall{
 		Method: c.Method, Path: c.Path, Query: c.Query, Header: c.Header, Body: c.Body,
 		Workspace: c.Workspace.Name(), Key: c.IdempotencyKey, AtMostOnce: atMostOnce, BeforeSend: beforeSend,
 	})
@@ -152,8 +153,7 @@
 
 func (r *Router) callFailedProblem(err error) *vanillalug.Problem {
 	state := vanillalug.RunUnknown
-	var unsent *courier.UnsentError
-	if errors.As(err, &unsent) {
+	if isUnsent(err) {
 		state = vanillalug.NotRun
 	}
 	status := http.StatusBadGateway
@@ -163,3 +163,8 @@
 	return vanillalug.NewProblem(status, "target-failed", "the call failed; it may be repeated",
 		vanillalug.WithRunState(state), vanillalug.WithRetryAfter(r.jitter(retryAfter)))
 }
+
+func isUnsent(err error) bool {
+	var unsent *courier.UnsentError
+	return errors.As(err, &unsent)
+}
--- a/reception/client.go
+++ b/reception/client.go
@@ -118,6 +118,9 @@
 	d := &net.Dialer{Timeout: o.connectTimeout, KeepAlive: defaultKeepAlive, KeepAliveConfig: o.keepAlive}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := d.DialContext(ctx, network, address)
+		if err == nil {
+			c, err = checkConnected(ctx, c)
+		}
 		if err != nil || o.count == nil {
 			return c, err
 		}
