--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -96,28 +96,18 @@
 	m := map[string]any{
 		"version": version,
 		"routes": []any{
-			map[string]any{
-				"name": "r-stream", "host": host, "prefix": "/stream/", "route_kind": "streaming", "timeout_ms": 15000, "goal_ms": 1000,
-				"priority": 0, "service": "llm", "max_attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 600,
-			},
-			map[string]any{
-				"name": "r-book", "host": host, "prefix": "/book/", "route_kind": "non_idempotent", "timeout_ms": 1000, "goal_ms": 150,
-				"priority": 2, "service": "app", "max_attempts": 1, "public": false,
-			},
-			map[string]any{
-				"name": "r-look", "host": host, "prefix": "/look/", "route_kind": "idempotent", "timeout_ms": 1000, "goal_ms": 150,
-				"priority": 2, "service": "app", "max_attempts": 2, "public": false,
-			},
+			map[string]any{"name": "r-stream", "host": host, "prefix": "/stream/", "route_kind": "streaming", "timeout_ms": 15000, "goal_ms": 1000,
+				"priority": 0, "service": "llm", "max_attempts": 2, "public": false, "sticky": true, "resumable": true, "gap_aim_ms": 600},
+			map[string]any{"name": "r-book", "host": host, "prefix": "/book/", "route_kind": "non_idempotent", "timeout_ms": 1000, "goal_ms": 150,
+				"priority": 2, "service": "app", "max_attempts": 1, "public": false},
+			map[string]any{"name": "r-look", "host": host, "prefix": "/look/", "route_kind": "idempotent", "timeout_ms": 1000, "goal_ms": 150,
+				"priority": 2, "service": "app", "max_attempts": 2, "public": false},
 		},
 		"services": []any{
-			map[string]any{
-				"name": "llm", "health_path": "/healthz", "max_connections": 832, "protocol": "h1", "tls": false,
-				"inference_engine": map[string]any{
-					"slots": 64, "kv_capacity": 545002, "kv_token_bytes": 18432, "link_mbps": 180000.0,
+			map[string]any{"name": "llm", "health_path": "/healthz", "max_connections": 832, "protocol": "h1", "tls": false,
+				"inference_engine": map[string]any{"slots": 64, "kv_capacity": 545002, "kv_token_bytes": 18432, "link_mbps": 180000.0,
 					"migrations": true, "replicas": true, "stride": 5, "most": 2, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_ttl_s": 5.0,
-					"model_list": []any{map[string]any{"name": "m"}},
-				},
-			},
+					"model_list": []any{map[string]any{"name": "m"}}}},
 			map[string]any{"name": "app", "health_path": "/healthz", "max_connections": 248, "protocol": "h1", "tls": false},
 		},
 		"limits":  map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
