--- a/cmd/router/office/non_idempotent_call.go
+++ b/cmd/router/office/non_idempotent_call.go
@@ -121,15 +121,19 @@
 	if !n.protocol.MayDispatch() {
 		return &ClaimExpiredError{}
 	}
+	if place := n.target.Place(); n.router.evacuated(place) {
+		return &PlaceEvacuatedError{Place: place}
+	}
 	return nil
 }
 
 // queryOutcome queries the target that the claim names for the outcome of the call.
 func (n *nonIdempotentCall) queryOutcome(c ledger.Claim) ledger.Event {
-	address := ""
-	for _, t := range n.router.Fleet().TargetsFor(c.Service()) {
-		if t.Name() == c.Target() {
-			address = t.Address()
+	address, place := "", ""
+	f := n.router.Fleet()
+	for _, t := range f.TargetsFor(c.Service()) {
+		if t.Name() == c.Target() && !f.Evacuated(t.Place()) {
+			address, place = t.Address(), t.Place()
 		}
 	}
 	if address == "" {
@@ -137,7 +141,7 @@
 	}
 	ctx, done := detachedContext(outcomeTimeout)
 	defer done()
-	a, err := n.router.calls.Outcome(ctx, address, n.call.Service.OutcomePath(), c.Workspace(), c.Key())
+	a, err := n.router.calls.Outcome(n.router.whileInUse(ctx, place), address, n.call.Service.OutcomePath(), c.Workspace(), c.Key())
 	if err != nil {
 		return ledger.OutcomeUnknown{}
 	}
--- a/cmd/router/office/service_call.go
+++ b/cmd/router/office/service_call.go
@@ -66,8 +66,12 @@
 func (r *Router) callIdempotent(ctx context.Context, c Call) (Response, *vanillalug.Problem) {
 	r.budget.Deposit(c.Workspace.Name(), r.Fleet().RetryRatio())
 	tried := map[string]bool{}
+	var mayHaveRun error
 	for attempt := 0; ; attempt++ {
 		t, ok := r.pickWorker(c.Service.Name(), tried)
+		if !ok && mayHaveRun != nil {
+			return Response{}, r.callFailedProblem(mayHaveRun)
+		}
 		if !ok {
 			return Response{}, r.noWorkerProblem(c)
 		}
@@ -76,6 +80,9 @@
 		if err == nil {
 			return a, nil
 		}
+		if !isUnsent(err) {
+			mayHaveRun = err
+		}
 		meter.Count("service_failures", "target", t.Name())
 		if ctx.Err() != nil || attempt >= maxAttempts-1 || !r.budget.Withdraw(c.Workspace.Name()) {
 			return Response{}, r.callFailedProblem(err)
@@ -91,7 +98,7 @@
 
 func (r *Router) sendCall(ctx context.Context, t vanillalug.Target, c Call, atMostOnce bool, beforeSend func() error) (Response, error) {
 	defer r.targets.begin(t.Name())()
-	w, err := r.calls.Call(ctx, t.Address(), courier.ServiceCall{
+	w, err := r.calls.Call(r.whileInUse(ctx, t.Place()), t.Address(), courier.ServiceCall{
 		Method: c.Method, Path: c.Path, Query: c.Query, Header: c.Header, Body: c.Body,
 		Workspace: c.Workspace.Name(), Key: c.IdempotencyKey, AtMostOnce: atMostOnce, BeforeSend: beforeSend,
 	})
@@ -105,9 +112,10 @@
 // preferring those that were not tried.
 func (r *Router) pickWorker(service string, tried map[string]bool) (vanillalug.Target, bool) {
 	var candidates, alreadyTried []vanillalug.Target
-	for _, t := range r.Fleet().TargetsFor(service) {
+	f := r.Fleet()
+	for _, t := range f.TargetsFor(service) {
 		switch {
-		case t.Leaving() || r.workerCondition(t.Name()) != dispatch.Up:
+		case t.Leaving() || f.Evacuated(t.Place()) || r.workerCondition(t.Name()) != dispatch.Up:
 		case tried[t.Name()]:
 			alreadyTried = append(alreadyTried, t)
 		default:
@@ -135,6 +143,9 @@
 }
 
 func (r *Router) noWorkerProblem(c Call) *vanillalug.Problem {
+	if r.Fleet().ServiceEvacuated(c.Service.Name()) {
+		return r.evacuatedProblem("service " + c.Service.Name())
+	}
 	return vanillalug.NewProblem(http.StatusServiceUnavailable, "no-target",
 		"no worker of service "+c.Service.Name()+" takes new work",
 		vanillalug.WithRetryAfter(r.jitter(retryAfter)))
@@ -142,8 +153,7 @@
 
 func (r *Router) callFailedProblem(err error) *vanillalug.Problem {
 	state := vanillalug.RunUnknown
-	var unsent *courier.UnsentError
-	if errors.As(err, &unsent) {
+	if isUnsent(err) {
 		state = vanillalug.NotRun
 	}
 	status := http.StatusBadGateway
@@ -153,3 +163,8 @@
 	return vanillalug.NewProblem(status, "target-failed", "the call failed; it may be repeated",
 		vanillalug.WithRunState(state), vanillalug.WithRetryAfter(r.jitter(retryAfter)))
 }
+
+func isUnsent(err error) bool {
+	var unsent *courier.UnsentError
+	return errors.As(err, &unsent)
+}
--- a/cmd/router/office/transaction.go
+++ b/cmd/router/office/transaction.go
@@ -53,7 +53,7 @@
 func (r *Router) usableEngines(f *vanillalug.Fleet, model string) []vanillalug.Engine {
 	var out []vanillalug.Engine
 	for _, e := range f.EnginesFor(model) {
-		if !e.Leaving() && r.condition(e.Name()) == dispatch.Up {
+		if !e.Leaving() && !f.Evacuated(e.Place()) && r.condition(e.Name()) == dispatch.Up {
 			out = append(out, e)
 		}
 	}
@@ -207,9 +207,13 @@
 const statusClientClosedRequest = 499
 
 func (t *transaction) noEngineProblem() *vanillalug.Problem {
-	if t.sink.started {
+	if t.sink.started || t.attempts > 1 {
+		// The attempt before may have run.
 		return t.interrupted("no engine is left")
 	}
+	if t.router.Fleet().ModelEvacuated(t.chat.Model) {
+		return t.router.evacuatedProblem(fmt.Sprintf("model %q", t.chat.Model))
+	}
 	return vanillalug.NewProblem(http.StatusServiceUnavailable, "no-engine",
 		fmt.Sprintf("no engine for model %q takes new work", t.chat.Model),
 		vanillalug.WithRetryAfter(t.router.jitter(retryAfter)))
