fitting: Explain says how Choose decides

An operator could not see why a target was chosen. Explain runs the same function as Choose, which now records the candidates that are left after each step, the rule and what was drawn. A second function that only mirrors the choice was ruled out, as the two would drift apart.

--- a/fitting/admission.go
+++ b/fitting/admission.go
@@ -30,8 +30,9 @@
 // targets are lost. Less urgent requests are rejected first, so that the others are served in
 // time, and then those of workspaces far above their fair share. A longer queue would not keep any
 // target busier.
-func admit(q Request, all []Candidate, left []int) ([]int, Shortage) {
+func admit(q Request, all []Candidate, left []int, s *steps) ([]int, Shortage) {
 	fits, shortage := withMemory(q, all, left)
+	s.withMemory = fits
 	if shortage != NoShortage {
 		return left, shortage
 	}
@@ -47,7 +48,7 @@
 	if queued <= 0 || slots == 0 {
 		return NoShortage
 	}
-	wait := q.serviceTimeAt(all[shortest]) * time.Duration(queued) / time.Duration(slots)
+	wait := q.slotWait(all[shortest])
 	switch {
 	case queued > maxQueueFactor*slots || wait > q.maxWait():
 		return SlotShortage
@@ -64,6 +65,12 @@
 	return shortest, queueLength(q, all[shortest]), q.slotsOf(all[shortest])
 }
 
+// slotWait returns how long the request is likely to wait for a slot of the candidate.
+func (q Request) slotWait(c Candidate) time.Duration {
+	queued, slots := queueLength(q, c), q.slotsOf(c)
+	return q.serviceTimeAt(c) * time.Duration(max(queued, 0)) / time.Duration(max(slots, 1))
+}
+
 // maxWait returns how long the request may wait for a slot. It falls with the
 // square of the priority rank, so that less urgent requests don't take the slots
 // of more urgent ones.
@@ -88,8 +95,8 @@
 // to have room, and up to three times later, as callers that were rejected together would
 // otherwise come back together.
 func (q Request) returnTime(all []Candidate, left []int, shortage Shortage) time.Duration {
-	shortest, queued, slots := q.shortestQueue(all, left)
-	wait := q.serviceTimeAt(all[shortest]) * time.Duration(max(queued, 0)) / time.Duration(max(slots, 1))
+	shortest, _, _ := q.shortestQueue(all, left)
+	wait := q.slotWait(all[shortest])
 	switch shortage {
 	case MemoryShortage:
 		wait = max(wait, q.memoryWait(all, left))
--- a/fitting/choose.go
+++ b/fitting/choose.go
@@ -107,30 +107,40 @@
 // Choose selects a target. It never selects targets that were tried or are paused. If no
 // other is left it selects the one whose next permit comes soonest, or a suspect one.
 func Choose(q Request, all []Candidate) Decision {
+	var s steps
+	return decide(q, all, &s)
+}
+
+// decide selects a target and records how.
+func decide(q Request, all []Candidate, s *steps) Decision {
 	left := eligible(all)
 	if len(left) == 0 {
 		if i, ok := soonestPermit(q, all); ok {
+			s.rule = SoonestPermit
 			return withCopySource(q, all, i, q.maxWait())
 		}
 		left = suspects(all)
 	}
+	s.available = left
 	if len(left) == 0 {
 		if d, ok := shortestPause(all); ok {
 			return Paused{RetryAfter: AfterPause(d, q.Random)}
 		}
 		return NoTarget{}
 	}
-	left, shortage := admit(q, all, left)
+	left, shortage := admit(q, all, left, s)
 	if shortage != NoShortage {
 		return Overloaded{RetryAfter: q.returnTime(all, left, shortage), Shortage: shortage}
 	}
+	s.admitted = left
 	if key, ok := q.Work.PromptKey(); ok && q.Slots > 0 {
-		return chooseEngine(q, key, all, left)
+		return chooseEngine(q, key, all, left, s)
 	}
 	if q.Slots > 0 {
+		s.rule = LeastLoaded
 		return chooseLeastLoaded(q, all, left)
 	}
-	return choosePlain(q, all, left)
+	return choosePlain(q, all, left, s)
 }
 
 // takesRequests reports whether the request may be sent to the candidate, as far as the
@@ -145,8 +155,8 @@
 // eligible returns the indexes of the candidates that may be chosen.
 func eligible(all []Candidate) []int {
 	left := make([]int, 0, len(all))
-	for i, c := range all {
-		if c.takesRequests() && !c.Suspect && c.PermitIn <= 0 {
+	for i := range all {
+		if all[i].exclusion() == NotExcluded {
 			left = append(left, i)
 		}
 	}
@@ -156,8 +166,8 @@
 // suspects returns the indexes of the suspect candidates that may be chosen.
 func suspects(all []Candidate) []int {
 	var left []int
-	for i, c := range all {
-		if c.takesRequests() && c.Suspect && c.PermitIn <= 0 {
+	for i := range all {
+		if all[i].exclusion() == TargetSuspect {
 			left = append(left, i)
 		}
 	}
--- a/fitting/choose_engine.go
+++ b/fitting/choose_engine.go
@@ -47,26 +47,31 @@
 // chooseEngine selects an engine with a low cost: its current load, plus the prefill of the
 // shared prompt unless it is cached. While no engine is known to have it cached, all routers
 // choose the same one; otherwise they choose among two random ones.
-func chooseEngine(q Request, key uint64, all []Candidate, left []int) Decision {
+func chooseEngine(q Request, key uint64, all []Candidate, left []int, s *steps) Decision {
 	within := withinBound(q, all, left)
 	if len(within) == 0 {
-		least := leastLoadedOfSome(q, all, left)
+		s.rule = LeastLoadedOfSome
+		least := leastLoadedOfSome(q, all, left, s)
 		return withCopySource(q, all, least, q.permitWait(all, left, least))
 	}
+	s.within = within
 	best := 0
 	if slices.ContainsFunc(left, func(i int) bool { return all[i].Cached }) {
-		best = chooseNearCache(q, all, left, within)
+		s.rule = NearCache
+		best = chooseNearCache(q, all, left, within, s)
 	} else {
+		s.rule = LeastCost
 		best = choosePreferred(q, key, all, left, within)
 	}
 	return withCopySource(q, all, best, q.permitWait(all, left, best))
 }
 
 // leastLoadedOfSome returns the candidate with the fewest requests among some drawn at random.
-func leastLoadedOfSome(q Request, all []Candidate, from []int) int {
+func leastLoadedOfSome(q Request, all []Candidate, from []int, s *steps) int {
 	best := from[0]
 	for n := range overloadDraws {
 		i := from[mix(q.Random+uint64(n)*drawStep)%uint64(len(from))]
+		s.addDrawn(i)
 		if n == 0 || all[i].Load.requests < all[best].Load.requests {
 			best = i
 		}
@@ -104,17 +109,17 @@
 // Loads of peers are some time old; if every router chose the least of them, all would choose
 // the same engine meanwhile. As the two are drawn before the bound is applied, the more
 // engines are over it, the more requests go to others.
-func chooseNearCache(q Request, all []Candidate, left, within []int) int {
+func chooseNearCache(q Request, all []Candidate, left, within []int, s *steps) int {
 	cached := slices.DeleteFunc(slices.Clone(left), func(i int) bool { return !all[i].Cached })
 	others := slices.DeleteFunc(slices.Clone(within), func(i int) bool { return all[i].Cached })
-	best := lessCostlyOfTwo(q, all, cached)
+	best := lessCostlyOfTwo(q, all, cached, s)
 	if len(others) == 0 {
 		if slices.Contains(within, best) {
 			return best
 		}
-		return lessCostlyOfTwo(q, all, within)
+		return lessCostlyOfTwo(q, all, within, s)
 	}
-	other := lessCostlyOfTwo(q, all, others)
+	other := lessCostlyOfTwo(q, all, others, s)
 	if slices.Contains(within, best) && cost(q.Work, all[best], false) <= cost(q.Work, all[other], false) {
 		return best
 	}
@@ -122,12 +127,14 @@
 }
 
 // lessCostlyOfTwo returns the less costly of two candidates drawn at random.
-func lessCostlyOfTwo(q Request, all []Candidate, from []int) int {
+func lessCostlyOfTwo(q Request, all []Candidate, from []int, s *steps) int {
 	first := int(mix(q.Random) % uint64(len(from)))
 	second := first
 	if len(from) > 1 {
 		second = (first + 1 + int(mix(^q.Random)%uint64(len(from)-1))) % len(from)
 	}
+	s.addDrawn(from[first])
+	s.addDrawn(from[second])
 	if cost(q.Work, all[from[second]], false) < cost(q.Work, all[from[first]], false) {
 		return from[second]
 	}
--- a/fitting/choose_plain.go
+++ b/fitting/choose_plain.go
@@ -17,11 +17,14 @@
 // some time old, and a request to a plain service is often shorter than that: if every router
 // chose the least loaded target, all would choose the same one until the next report, and its
 // queue would overflow beside targets that have free slots.
-func choosePlain(q Request, all []Candidate, left []int) Decision {
+func choosePlain(q Request, all []Candidate, left []int, s *steps) Decision {
 	from := withinMean(all, left)
+	s.rule, s.within = DrawnByWeight, from
 	if near := idleNearby(q, all, from); len(near) > 0 {
+		s.rule = DrawnNearby
 		from = near
 	}
+	s.pool = from
 	best := drawByWeight(q, all, from)
 	return Chosen{Index: best, Source: NoSource, MaxWait: q.permitWait(all, left, best)}
 }
@@ -50,11 +53,7 @@
 
 // drawByWeight draws a candidate at random.
 func drawByWeight(q Request, all []Candidate, from []int) int {
-	total := 0.0
-	for _, i := range from {
-		total += drawWeight(all[i])
-	}
-	x := total * float64(mix(q.Random+drawStep)%drawResolution) / drawResolution
+	x := totalWeight(all, from) * float64(mix(q.Random+drawStep)%drawResolution) / drawResolution
 	for _, i := range from {
 		if x -= drawWeight(all[i]); x < 0 {
 			return i
@@ -63,6 +62,14 @@
 	return from[len(from)-1]
 }
 
+func totalWeight(all []Candidate, from []int) float64 {
+	total := 0.0
+	for _, i := range from {
+		total += drawWeight(all[i])
+	}
+	return total
+}
+
 // drawWeight returns the weight of a candidate. This router's own requests, which are known
 // exactly, count more than those of peers, and a slow target gets fewer requests in proportion. A
 // fast one whose slots are taken makes a request wait, so that it gets no more for its speed.
