gateway: GET /where on the metrics listener says where a request would go

A router answers from the code that serves requests: classification, relays, rejections, candidates and Choose are split from what they record, and the random number is a parameter, so that an explanation uses the number of the next request and leaves it to it. A copy of the decision was ruled out.

--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -99,8 +99,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	metrics, err := reception.NewServer("metrics", cfg.Metrics(), reception.WithHandler(
-		http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { meter.Write(w) })),
+	metrics, err := reception.NewServer("metrics", cfg.Metrics(), reception.WithHandler(metricsHandler(g)),
 		reception.WithMaxConns(cfg.MetricsConns(descriptors)), reception.WithMaxHeaderBytes(probeMaxHeaderBytes),
 		reception.WithIntake(held), reception.WithoutBodies())
 	if err != nil {
--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -31,39 +31,80 @@
 // chooseUpstream selects the target of the next attempt, and how long the request may
 // wait for a permit, or returns a rejection.
 func (t *transaction) chooseUpstream() (u *upstream, maxWait time.Duration, rejected *rejection) {
-	now := t.g.clock.Now()
-	if rejected := t.rejectDefect(now); rejected != nil {
+	now, random := t.g.clock.Now(), t.g.choiceSeed.Add(1)
+	if rejected := t.rejectUnservable(random, now); rejected != nil {
 		return nil, 0, rejected
 	}
-	if rejected := t.rejectEvacuated(); rejected != nil {
+	in := t.choiceInput(random, now)
+	decision := fitting.Choose(in.request, in.candidates)
+	if rejected := t.rejectionOf(decision, in); rejected != nil {
+		if full, ok := decision.(fitting.Overloaded); ok {
+			t.recordRefusal(full.Shortage, now)
+		}
 		return nil, 0, rejected
 	}
+	chosen := decision.(fitting.Chosen)
+	t.choice = describeChoice(in.candidates, chosen.Index)
+	t.copyFrom, t.wasCached = "", in.candidates[chosen.Index].Cached
+	t.room = newNeededRoom(in.request, in.candidates[chosen.Index])
+	if chosen.Source != fitting.NoSource {
+		source := in.candidates[chosen.Source].Target
+		t.copyFrom = source.Address()
+		t.choice += " source=" + source.Incarnation()
+	}
+	return in.upstreams[chosen.Index], chosen.MaxWait, nil
+}
+
+// choiceInput is by what the target of the next attempt is chosen.
+type choiceInput struct {
+	upstreams []*upstream
+	// candidates are the upstreams in their order, and after them the targets that are only copied from.
+	candidates []fitting.Candidate
+	request    fitting.Request
+}
+
+// choiceInput returns by what the target of the next attempt is chosen. It changes nothing, as
+// explanations use it too.
+func (t *transaction) choiceInput(random uint64, now time.Time) choiceInput {
 	upstreams := t.compatible(t.g.upstreams.Load().byService[t.service])
-	if t.origin != nil && len(upstreams) == 0 {
-		return nil, 0, streamRejection("no target of the software version at which the stream began")
+	return choiceInput{
+		upstreams:  upstreams,
+		candidates: append(t.candidates(upstreams, now), t.copySourcesOf(t.service, now)...),
+		request:    t.fittingRequest(random, now),
+	}
+}
+
+// rejectUnservable returns a rejection if no target may get the request, whatever their load, or nil.
+// It changes nothing but the transaction.
+func (t *transaction) rejectUnservable(random uint64, now time.Time) *rejection {
+	if rejected := t.rejectDefect(now); rejected != nil {
+		return rejected
+	}
+	if rejected := t.rejectEvacuated(random); rejected != nil {
+		return rejected
 	}
-	candidates := append(t.candidates(upstreams, now), t.copySourcesOf(t.service, now)...)
-	req := t.fittingRequest(now)
-	switch decision := fitting.Choose(req, candidates).(type) {
+	if t.origin != nil && len(t.compatible(t.g.upstreams.Load().byService[t.service])) == 0 {
+		return streamRejection("no target of the software version at which the stream began")
+	}
+	return nil
+}
+
+// rejectionOf returns the rejection that a decision means, or nil if a target was chosen. It changes
+// nothing but the transaction.
+func (t *transaction) rejectionOf(decision fitting.Decision, in choiceInput) *rejection {
+	switch d := decision.(type) {
 	case fitting.Chosen:
-		t.choice = describeChoice(candidates, decision.Index)
-		t.copyFrom, t.wasCached = "", candidates[decision.Index].Cached
-		t.room = newNeededRoom(req, candidates[decision.Index])
-		if decision.Source != fitting.NoSource {
-			source := candidates[decision.Source].Target
-			t.copyFrom = source.Address()
-			t.choice += " source=" + source.Incarnation()
-		}
-		return upstreams[decision.Index], decision.MaxWait, nil
+		return nil
 	case fitting.Paused:
-		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: pausedReason(candidates), retryAfter: decision.RetryAfter}
+		return &rejection{status: http.StatusServiceUnavailable, reason: pausedReason(in.candidates), retryAfter: d.RetryAfter}
 	case fitting.Overloaded:
-		t.recordRefusal(decision.Shortage, now)
+		req := in.request
 		t.detail = fmt.Sprintf("shortage=%s overuse=%.1f tokens=%d pace=%s left=%s goal=%s crowded=%s total=%d of=%d",
-			decision.Shortage, req.Overuse, req.Work.KVTokens(false), req.ServiceTime, req.TimeLeft, req.Objective, req.OverloadedFor, totalRequests(candidates), len(candidates))
-		return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: decision.RetryAfter}
+			d.Shortage, req.Overuse, req.Work.KVTokens(false), req.ServiceTime, req.TimeLeft, req.Objective, req.OverloadedFor,
+			totalRequests(in.candidates), len(in.candidates))
+		return &rejection{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: d.RetryAfter}
 	}
-	return nil, 0, &rejection{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: overloadRetryAfter}
+	return &rejection{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: overloadRetryAfter}
 }
 
 // candidates returns the upstreams with their loads, cache state and health.
@@ -100,11 +141,11 @@
 }
 
 // fittingRequest returns the properties of the request that decide the choice.
-func (t *transaction) fittingRequest(now time.Time) fitting.Request {
+func (t *transaction) fittingRequest(random uint64, now time.Time) fitting.Request {
 	req := fitting.Request{
 		Work: t.req.Work(), Place: t.g.cfg.Place, ServiceTime: t.g.serviceTimes.Mean(t.service),
 		TimeLeft: t.deadline.Sub(now), Objective: t.route.Objective(), OverloadedFor: t.g.overloads.Duration(t.service, now),
-		Priority: t.priority, Random: t.g.choiceSeed.Add(1),
+		Priority: t.priority, Random: random,
 	}
 	if s, ok := t.table.Service(t.service); ok && s.Engine() != nil {
 		req.Slots = s.Engine().Slots()
--- a/cmd/router/gateway/entry.go
+++ b/cmd/router/gateway/entry.go
@@ -41,9 +41,19 @@
 	t.proxy()
 }
 
-// admit matches the route, authenticates the workspace and reads the body. It
-// returns a rejection if the request must not be forwarded, or nil.
+// admit classifies the request and reads the body. It returns a rejection if the
+// request must not be forwarded, or nil.
 func (t *transaction) admit() *rejection {
+	if rejected := t.classify(); rejected != nil {
+		return rejected
+	}
+	return t.readBody()
+}
+
+// classify matches the route, authenticates the workspace and selects the service. It
+// changes nothing but the transaction, and returns a rejection if the request must not
+// be forwarded, or nil.
+func (t *transaction) classify() *rejection {
 	active := t.g.table.Load()
 	if active == nil || !t.g.mayServe() {
 		return &rejection{status: http.StatusServiceUnavailable, reason: "no routing table yet", retryAfter: notReadyRetryAfter}
@@ -68,7 +78,7 @@
 	}
 	t.service = route.Pick(hashOf(t.req.ID()))
 	t.deadline = t.start.Add(timeoutOf(route, t.req))
-	return t.readBody()
+	return nil
 }
 
 // timeoutOf returns the time limit for the response: the shorter of the
--- a/cmd/router/gateway/evacuation_attempt.go
+++ b/cmd/router/gateway/evacuation_attempt.go
@@ -16,13 +16,13 @@
 
 // rejectEvacuated returns a rejection if all targets of the service are in evacuated failure
 // domains, or nil.
-func (t *transaction) rejectEvacuated() *rejection {
+func (t *transaction) rejectEvacuated(random uint64) *rejection {
 	if !t.g.upstreams.Load().serviceEvacuated(t.service) {
 		return nil
 	}
 	return &rejection{
 		status: http.StatusServiceUnavailable, reason: "service is evacuated",
-		retryAfter: fitting.AfterPause(evacuatedRetryAfter, t.g.choiceSeed.Add(1)),
+		retryAfter: fitting.AfterPause(evacuatedRetryAfter, random),
 	}
 }
 
--- a/cmd/router/gateway/rejection.go
+++ b/cmd/router/gateway/rejection.go
@@ -14,6 +14,9 @@
 	cause      error
 }
 
+// retryAfterText returns the value of a Retry-After header.
+func retryAfterText(d time.Duration) string { return strconv.FormatFloat(d.Seconds(), 'f', 2, 64) }
+
 // reject writes an error response of the router itself. The statuses 503 and 429
 // promise that no target has executed the request.
 func (t *transaction) reject(r *rejection) {
@@ -24,7 +27,7 @@
 	}
 	h := t.w.Header()
 	if r.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", retryAfterText(r.retryAfter))
 	}
 	if id := t.req.ID(); id != "" {
 		t.req.Echo(h)
--- a/cmd/router/gateway/relay.go
+++ b/cmd/router/gateway/relay.go
@@ -42,17 +42,27 @@
 // relayPeer returns the peer that the request should be relayed to, if its targets can't be
 // reached from here or seem not to be. A request that a peer relayed is never relayed again.
 func (t *transaction) relayPeer() (name string, address netip.AddrPort, ok bool) {
-	wanted := t.g.detours.Unreachable(t.service) || t.failedConnects >= connectsBeforeRelay || t.noTargetLeft
-	wanted = wanted && !t.g.upstreams.Load().serviceEvacuated(t.service)
-	if !wanted || t.relayedBy != "" || len(t.relays) >= maxRelays {
+	if !t.mayRelay() {
 		return "", netip.AddrPort{}, false
 	}
+	return t.choosePeer(t.g.choiceSeed.Add(1))
+}
+
+// mayRelay reports whether the request should be relayed to a peer if there is one for it.
+func (t *transaction) mayRelay() bool {
+	wanted := t.g.detours.Unreachable(t.service) || t.failedConnects >= connectsBeforeRelay || t.noTargetLeft
+	wanted = wanted && !t.g.upstreams.Load().serviceEvacuated(t.service)
+	return wanted && t.relayedBy == "" && len(t.relays) < maxRelays
+}
+
+// choosePeer returns the peer that the request is relayed to.
+func (t *transaction) choosePeer(random uint64) (name string, address netip.AddrPort, ok bool) {
 	serving := t.g.peers.serving()
 	peers := make([]detour.Peer, 0, len(serving))
 	for name, r := range serving {
 		peers = append(peers, detour.Peer{Name: name, Unreachable: r.unreachable})
 	}
-	name, ok = detour.Choose(t.service, peers, t.relays, t.g.choiceSeed.Add(1))
+	name, ok = detour.Choose(t.service, peers, t.relays, random)
 	return name, serving[name].address, ok
 }
 
--- a/cmd/router/gateway/stream_origin.go
+++ b/cmd/router/gateway/stream_origin.go
@@ -107,12 +107,7 @@
 	switch d := decision.(type) {
 	case edition.GoOn:
 		t.logOrigin(d, len(answers))
-		if !t.route.LeadsTo(d.Origin.Service) {
-			return streamRejection("the stream's service is not on the route any more")
-		}
-		t.origin = &d.Origin
-		t.service = d.Origin.Service
-		return nil
+		return t.goOn(d)
 	case edition.Unknown:
 		meter.CountBy("streams_continued", "service", t.service, "by", "unknown")
 		t.detail = fmt.Sprintf("%s, asked=%d answers=%d", d.Reason, len(holders), len(answers))
@@ -120,6 +115,17 @@
 	return streamRejection("unknown at which software version the stream began")
 }
 
+// goOn lets the request go to targets of the stream's origin. It returns a rejection if the route no
+// longer leads there, or nil.
+func (t *transaction) goOn(d edition.GoOn) *rejection {
+	if !t.route.LeadsTo(d.Origin.Service) {
+		return streamRejection("the stream's service is not on the route any more")
+	}
+	t.origin = &d.Origin
+	t.service = d.Origin.Service
+	return nil
+}
+
 // decideFromStore decides about a stream of which neither this router nor the peers that gave the
 // answers know enough, by what the store has from before they started.
 func (t *transaction) decideFromStore(ctx context.Context, key edition.StreamKey, answers []edition.Answer) edition.Decision {
--- a/fitting/choose_least_loaded.go
+++ b/fitting/choose_least_loaded.go
@@ -11,14 +11,20 @@
 func chooseLeastLoaded(q Request, all []Candidate, left []int) Decision {
 	best := slices.MinFunc(left, func(a, b int) int {
 		return cmp.Or(
-			cmp.Compare(engineUtilization(q.Work, all[a]), engineUtilization(q.Work, all[b])),
-			compareBool(all[a].Limited, all[b].Limited),
-			cmp.Compare(distance(q.Place, all[a]), distance(q.Place, all[b])),
+			q.compareLoads(all[a], all[b]),
 			cmp.Compare(mix(q.Random^rendezvousScore(0, all[a].Target)), mix(q.Random^rendezvousScore(0, all[b].Target))))
 	})
 	return Chosen{Index: best, Source: NoSource, MaxWait: q.permitWait(all, left, best)}
 }
 
+// compareLoads orders the less loaded engine first. Equal ones are chosen among at random.
+func (q Request) compareLoads(a, b Candidate) int {
+	return cmp.Or(
+		cmp.Compare(engineUtilization(q.Work, a), engineUtilization(q.Work, b)),
+		compareBool(a.Limited, b.Limited),
+		cmp.Compare(distance(q.Place, a), distance(q.Place, b)))
+}
+
 // engineUtilization returns the effective utilization. Engines below idleUtilization count as idle, so
 // that those in the same place are preferred among them. A cold engine counts as busier the longer
 // the prompt is.
--- a/fitting/explain.go
+++ b/fitting/explain.go
@@ -11,6 +11,9 @@
 	Decision Decision
 	// Rule is the rule that chose; NoRule if the request is refused.
 	Rule Rule
+	// Draw says that the choice depends on the random number: the next request of the same kind may get
+	// another target.
+	Draw bool
 	// OnlySuspects says that no other target than suspect ones is left.
 	OnlySuspects bool
 	// MaxWait is how long the request may wait for room; while requests of the service are refused it
@@ -40,8 +43,9 @@
 func Explain(q Request, all []Candidate) Explanation {
 	var s steps
 	e := Explanation{Decision: decide(q, all, &s), MaxWait: q.fairWait(), Considerations: make([]Consideration, len(all))}
-	if _, ok := e.Decision.(Chosen); ok {
+	if chosen, ok := e.Decision.(Chosen); ok {
 		e.Rule = s.rule
+		e.Draw = s.random(q, all, chosen.Index)
 	}
 	e.OnlySuspects = len(s.available) > 0 && all[s.available[0]].Suspect
 	e.addWaits(q, all, &s)
@@ -96,6 +100,22 @@
 	return NotExcluded
 }
 
+// random reports whether another random number may lead to another choice.
+func (s *steps) random(q Request, all []Candidate, chosen int) bool {
+	switch s.rule {
+	case DrawnByWeight, DrawnNearby:
+		return len(s.pool) > 1
+	case NearCache, LeastLoadedOfSome:
+		return len(s.admitted) > 1
+	case LeastLoaded:
+		return slices.ContainsFunc(s.admitted, func(i int) bool {
+			return i != chosen && q.compareLoads(all[i], all[chosen]) == 0
+		})
+	case NoRule, SoonestPermit, LeastCost:
+	}
+	return false
+}
+
 // addCosts adds by what the candidates were compared.
 func (e *Explanation) addCosts(q Request, all []Candidate, s *steps) {
 	for _, i := range s.drawn[:s.nDrawn] {
--- a/fitting/explain_test.go
+++ b/fitting/explain_test.go
@@ -82,6 +82,13 @@
 		if !ok {
 			return
 		}
+		for n := range uint64(20) {
+			other := q
+			other.Random += n
+			if again, ok := Choose(other, all).(Chosen); !ok || again.Index != chosen.Index {
+				require.True(t, e.Draw, "another random number, another target")
+			}
+		}
 		won := e.Considerations[chosen.Index]
 		require.Equal(t, NotExcluded, won.Excluded)
 		switch {
--- a/fitting/rule.go
+++ b/fitting/rule.go
@@ -46,12 +46,6 @@
 	}
 }
 
-// Random reports whether the next request of the same kind may get another target because the choice
-// depends on a random number.
-func (r Rule) Random() bool {
-	return r == DrawnByWeight || r == DrawnNearby || r == NearCache || r == LeastLoadedOfSome
-}
-
 // byCost reports whether the rule compares costs.
 func (r Rule) byCost() bool { return r == LeastCost || r == NearCache }
 
--- a/where/target.go
+++ b/where/target.go
@@ -39,10 +39,11 @@
 	CostMS      float64 `json:"cost-ms,omitempty"`
 }
 
-// Estimate is what the target is expected to do. A figure of 0 is unknown, except AgeMS.
+// Estimate is what the target is expected to do. A figure of 0 is unknown. AgeMS is the age of the newest
+// observation; nil if there is none of this target.
 type Estimate struct {
 	Slowness float64 `json:"slowness"`
-	AgeMS    int64   `json:"age-ms"`
+	AgeMS    *int64  `json:"age-ms,omitempty"`
 	ServedMS float64 `json:"served-ms,omitempty"`
 	// FirstEventMS and PauseMS are predicted for this request.
 	FirstEventMS float64 `json:"first-event-ms,omitempty"`
