--- a/cmd/vanillalug/main.go
+++ b/cmd/vanillalug/main.go
@@ -26,6 +26,7 @@
     claims     list calls whose outcome is not recorded
     settle     record the outcome of such a call by hand
     explain    show from logs how a request was handled
+    where      show where a request would go now, and why
     report     count the requests in logs by result, and plot them
     hash-key   print the digest of a workspace key
     version    print the build of this command
@@ -70,6 +71,7 @@
 		{"claims", usageClaims, runClaims},
 		{"settle", usageSettle, runSettle},
 		{"explain", usageExplain, runExplain},
+		{"where", usageWhere, runWhere},
 		{"report", usageReport, runReport},
 		{"hash-key", usageHashKey, runHashKey},
 		{"version", usageVersion, runVersion},
