--- a/cmd/router/gateway/where_test.go
+++ b/cmd/router/gateway/where_test.go
@@ -266,6 +266,7 @@
 	Loads              map[fitting.Key]fitting.Load
 	Placements         []fitting.Placement
 	Usage              []share.Usage
+	Refusing           bool
 	Overload           [3]time.Duration
 	ServiceTimes       [3]time.Duration
 	PrefillTimes       [3]time.Duration
@@ -289,6 +290,7 @@
 	s := routerState{
 		ChoiceSeed: g.choiceSeed.Load(), InFlight: g.inFlight.Load(), Loads: g.loads.Own(), Placements: g.cacheIndex.Newest(100, now),
 		Usage: g.usage.Own(now), Speed: g.capacity.Own(time.Minute, now), Failures: g.failureReports.Own(now),
+		Refusing:  g.overloads.RejectedWithin(time.Minute, now),
 		Announced: g.peers.recentPlacements(now), Counters: counters(), Limits: g.limits, Permits: g.permits, Streams: g.streams,
 		Defects: g.defects, Digest: g.view.Digest(), UnreachableService: g.detours.UnreachableServices(),
 	}
--- a/cmd/vanillalug/where_text.go
+++ b/cmd/vanillalug/where_text.go
@@ -68,7 +68,7 @@
 	}
 	fmt.Fprintln(out)
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "\tTARGET\tADDRESS\tPLACE\tLOAD\tOWN\tPREFILL\tKV\tCACHED\tSLOWNESS\tAGE\tSLOT WAIT\tPREFILL WAIT\tWEIGHT\tCOST\tNOTES")
+	fmt.Fprintln(w, "\tTARGET\tADDRESS\tPLACE\tLOAD\tOWN\tPREFILL\tKV\tCACHED\tSLOWNESS\tAGE\tSLOT WAIT\tPREFILL WAIT\tCHANCE\tCOST\tNOTES")
 	for _, t := range targets {
 		slowness, age := estimateText(t.Estimate)
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d/%d\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", mark(t.Chosen), t.Target, t.Address, t.Place,
