--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -80,18 +80,15 @@
 	if rejected := t.rejectDefect(now); rejected != nil {
 		return rejected
 	}
-	if rejected := t.rejectEvacuated(random); rejected != nil {
-		return rejected
-	}
-	if t.origin != nil && len(t.compatible(t.g.upstreams.Load().byService[t.service])) == 0 {
-		return streamRejection("no target of the software version at which the stream began")
-	}
-	return nil
+	return t.rejectEvacuated(random)
 }
 
 // rejectionOf returns the rejection that a decision means, or nil if a target was chosen. It changes
 // nothing but the transaction.
 func (t *transaction) rejectionOf(decision fitting.Decision, in choiceInput) *rejection {
+	if t.origin != nil && len(in.upstreams) == 0 {
+		return streamRejection("no target of the software version at which the stream began")
+	}
 	switch d := decision.(type) {
 	case fitting.Chosen:
 		return nil
