--- a/cmd/router/gateway/robustness_test.go
+++ b/cmd/router/gateway/robustness_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
