soak: evacuations of failure domains, beside all other faults

The soak didn't evacuate, so a router that ignores a row, forgets it at a restart or takes an older copy of it passed.

Targets are in two failure domains. One of them is evacuated for 7 to 12 s at random times, and at times again within a second after it was restored. Requests that the callers sent to a router count as that router's, also if it relayed them. An older build ignores evacuations, so there are none where two builds run side by side.

--- a/cmd/soak/fleet/changes.go
+++ b/cmd/soak/fleet/changes.go
@@ -56,14 +56,14 @@
 func (h *Harness) addTarget(service string) error {
 	h.mu.Lock()
 	h.lastTarget++
-	id := fmt.Sprintf("%s-%d", service, h.lastTarget)
+	id, place := fmt.Sprintf("%s-%d", service, h.lastTarget), placeOf(h.lastTarget)
 	version := fmt.Sprintf("v%d", h.lastTarget/softwareVersions%softwareVersions)
 	h.mu.Unlock()
 	t, err := platformtest.NewTarget(id, service, service == engineService)
 	if err != nil {
 		return err
 	}
-	t.SoftwareVersion = version
+	t.SoftwareVersion, t.Place = version, place
 	h.registryMu.Lock()
 	defer h.registryMu.Unlock()
 	h.mu.Lock()
--- a/cmd/soak/fleet/check.go
+++ b/cmd/soak/fleet/check.go
@@ -56,8 +56,8 @@
 }
 
 // Check compares the callers' results with the targets' executions and returns
-// every violation.
-func (h *Harness) Check() []string {
+// every violation. callersStopped is when the callers sent no more requests.
+func (h *Harness) Check(callersStopped time.Time) []string {
 	h.mu.Lock()
 	targets := append([]*platformtest.Target(nil), h.all...)
 	h.mu.Unlock()
@@ -80,6 +80,7 @@
 	}
 	violations = append(violations, h.checkStated(targets)...)
 	violations = append(violations, h.checkLimits(targets)...)
+	violations = append(violations, h.checkEvacuations(targets, callersStopped)...)
 	violations = append(violations, checkSoftwareVersions(targets)...)
 	return append(violations, h.checkRemoved()...)
 }
--- /dev/null
+++ b/cmd/soak/fleet/contact.go
@@ -0,0 +1,26 @@
+package fleet
+
+import "time"
+
+// contactTime is the contact bound of docs/HARD-LOAD.md: a router is in touch if it ran, had a path to
+// the store, and the store answered, for so long.
+const contactTime = 4 * time.Second
+
+// contact tells which routers were in touch.
+type contact struct {
+	// storeFaults are the times in which the store was down, silent or reset connections.
+	storeFaults *FaultTracker
+	// storeReplaced are the times in which the store served a restored copy without what was written
+	// since, and those at which it dropped its history.
+	storeReplaced *FaultTracker
+}
+
+func newContact() contact {
+	return contact{storeFaults: &FaultTracker{}, storeReplaced: &FaultTracker{}}
+}
+
+// inTouch reports whether a router was in touch at a time.
+func (c contact) inTouch(r *Router, at time.Time) bool {
+	since := at.Add(-contactTime)
+	return !r.DisruptedBetween(since, at) && r.storeLink.quietBetween(since, at) && c.storeFaults.quietBetween(since, at)
+}
--- a/cmd/soak/fleet/fault_tracker.go
+++ b/cmd/soak/fleet/fault_tracker.go
@@ -50,3 +50,21 @@
 	}
 	return true
 }
+
+// quietFrom returns the earliest time from from on after which no fault was active for d.
+func (t *FaultTracker) quietFrom(from time.Time, d time.Duration) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for {
+		next := from
+		for _, s := range t.spans {
+			if s.begin.Before(next.Add(d)) && s.end.After(next) {
+				next = s.end
+			}
+		}
+		if next.Equal(from) {
+			return next
+		}
+		from = next
+	}
+}
--- a/cmd/soak/fleet/faults.go
+++ b/cmd/soak/fleet/faults.go
@@ -90,17 +90,26 @@
 
 func disruptStoreLink(h *Harness, random *rand.Rand) (string, func()) {
 	r, m := h.randomRouter(random), randomMode(random)
+	end := r.storeLink.Begin()
 	r.StoreProxy.SetMode(m)
-	return fmt.Sprintf("store for %s: %s", r.Name, m), func() { r.StoreProxy.SetMode(Pass) }
+	return fmt.Sprintf("store for %s: %s", r.Name, m), func() {
+		r.StoreProxy.SetMode(Pass)
+		end()
+	}
 }
 
 func failStore(h *Harness, random *rand.Rand) (string, func()) {
 	f := []platformtest.Fault{platformtest.Unavailable, platformtest.Unresponsive, platformtest.Reset}[random.IntN(3)]
+	end := h.contact.storeFaults.Begin()
 	h.store.SetFault(f)
-	return "store: " + string(f), func() { h.store.SetFault(platformtest.NoFault) }
+	return "store: " + string(f), func() {
+		h.store.SetFault(platformtest.NoFault)
+		end()
+	}
 }
 
 func compactStore(h *Harness, _ *rand.Rand) (string, func()) {
+	defer h.contact.storeReplaced.Begin()()
 	h.store.Compact()
 	return "store compacts its history", noUndo
 }
--- a/cmd/soak/fleet/harness.go
+++ b/cmd/soak/fleet/harness.go
@@ -39,10 +39,13 @@
 
 	store   *platformtest.Store
 	tracker *FaultTracker
+	contact contact
 
-	// registryMu serializes changes of the registry and of the routing table.
-	registryMu sync.Mutex
-	backups    []platformtest.Backup
+	// registryMu serializes changes of the registry, of the routing table and of evacuations.
+	registryMu  sync.Mutex
+	backups     []platformtest.Backup
+	evacuated   map[string]bool
+	evacuations []evacuation
 
 	mu      sync.Mutex
 	targets []*platformtest.Target
@@ -60,7 +63,7 @@
 // dir. After an error, the caller still has to call Stop.
 func NewHarness(bin, dir string, size Size) (*Harness, error) {
 	h := &Harness{
-		CallLog: &CallLog{}, store: platformtest.NewStore(), tracker: &FaultTracker{},
+		CallLog: &CallLog{}, store: platformtest.NewStore(), tracker: &FaultTracker{}, contact: newContact(), evacuated: map[string]bool{},
 		removed: map[*platformtest.Target]time.Time{}, draining: map[*platformtest.Target]bool{}, start: time.Now(),
 	}
 	h.store.SetEpoch(1)
--- a/cmd/soak/fleet/restore.go
+++ b/cmd/soak/fleet/restore.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -41,6 +42,7 @@
 func (h *Harness) restore(b platformtest.Backup, after time.Duration) {
 	h.registryMu.Lock()
 	defer h.registryMu.Unlock()
+	defer h.contact.storeReplaced.Begin()()
 	h.store.Restore(b)
 	time.Sleep(after)
 	h.mu.Lock()
@@ -52,6 +54,9 @@
 	}
 	h.mu.Unlock()
 	h.putVersion(version)
+	for place := range h.evacuated {
+		h.putEvacuation(place)
+	}
 	for _, t := range ready {
 		h.store.PutJSON("servers", t.ID, t.Entry("ready"))
 	}
@@ -71,3 +76,10 @@
 	}
 	h.store.Delete("servers", t.ID)
 }
+
+// removedAt returns when targets were removed.
+func (h *Harness) removedAt() map[*platformtest.Target]time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.removed)
+}
--- a/cmd/soak/fleet/router.go
+++ b/cmd/soak/fleet/router.go
@@ -33,6 +33,8 @@
 	ready  string
 	entry  string
 	peers  string
+	// storeLink has the faults of the connections to the store.
+	storeLink FaultTracker
 
 	mu             sync.Mutex
 	process        *os.Process
--- a/cmd/soak/fleet/run.go
+++ b/cmd/soak/fleet/run.go
@@ -22,6 +22,8 @@
 	limitStream = 1<<20 + 1
 	// killAllStream is that of KillAllRouters.
 	killAllStream = 1<<20 + 2
+	// evacuateStream is that of EvacuatePlaces.
+	evacuateStream = 1<<20 + 3
 )
 
 // Report is the result of a run.
@@ -56,24 +58,22 @@
 		}
 	}
 	var probeViolations []string
-	var reconfigureErr error
 	others.Go(func() { probeViolations = h.ProbeVersions(stop) })
-	others.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
-	others.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
-	others.Go(func() { h.KillAllRouters(rand.New(rand.NewPCG(seed, killAllStream)), length) })
-	others.Go(func() { reconfigureErr = h.Reconfigure(rand.New(rand.NewPCG(seed, 1)), end) })
+	waitForChanges := h.startChanges(size, seed, length)
 	h.InjectFaults(rand.New(rand.NewPCG(seed, 0)), end)
-	h.AwaitQuiet(quietPeriod)
+	reconfigureErr := waitForChanges()
+	h.AwaitQuiet(returnTimeout)
 	h.resumeRouters()
 	if err := h.AwaitReady(); err != nil {
 		probeViolations = append(probeViolations, err.Error())
 	}
+	callersStopped := time.Now()
 	close(stop)
 	callers.Wait()
 	others.Wait()
 	report.Violations = append(h.checkRecovery(), probeViolations...)
 	time.Sleep(completionTime)
-	report.Violations = append(report.Violations, h.Check()...)
+	report.Violations = append(report.Violations, h.Check(callersStopped)...)
 	report.Events = h.Events()
 	for _, c := range h.CallLog.Calls() {
 		report.Calls++
@@ -90,6 +90,26 @@
 	return report, reconfigureErr
 }
 
+// startChanges starts everything beside InjectFaults that changes the fleet for the given length of
+// time. The returned function waits until all of it has ended.
+func (h *Harness) startChanges(size Size, seed uint64, length time.Duration) (wait func() error) {
+	end := time.Now().Add(length)
+	var changes sync.WaitGroup
+	var reconfigureErr error
+	changes.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
+	changes.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
+	changes.Go(func() { h.KillAllRouters(rand.New(rand.NewPCG(seed, killAllStream)), length) })
+	changes.Go(func() { reconfigureErr = h.Reconfigure(rand.New(rand.NewPCG(seed, 1)), end) })
+	if size.OtherBuild == "" {
+		// An older build ignores evacuations until it is replaced.
+		changes.Go(func() { h.EvacuatePlaces(rand.New(rand.NewPCG(seed, evacuateStream)), end) })
+	}
+	return func() error {
+		changes.Wait()
+		return reconfigureErr
+	}
+}
+
 // checkRecovery returns a violation for each router that serves too few requests
 // after all faults have ended.
 func (h *Harness) checkRecovery() []string {
--- a/cmd/soak/fleet/soak_test.go
+++ b/cmd/soak/fleet/soak_test.go
@@ -10,7 +10,7 @@
 // The seed and length of the run in CI; longer runs are started by hand.
 const (
 	testSeed = 1
-	testTime = 6 * time.Second
+	testTime = 9 * time.Second
 )
 
 // TestShortSoak runs one seed with the real router and checks every guarantee.
