lugtest/crowdtest: crowds of clients that misbehave, out of cmd/demo/crowd

The soak needs the same clients, and a test file of another module can't be imported. Compiled and linted; the tests of cmd/demo/crowd were not run for this commit.

--- a/cmd/demo/crowd/crowd_test.go
+++ b/cmd/demo/crowd/crowd_test.go
@@ -6,12 +6,10 @@
 import (
 	"fmt"
 	"maps"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -20,6 +18,7 @@
 	"github.com/zeromicro/go-zero/core/logx"
 
 	"vanillalug.example/cmd/demo/stage"
+	"vanillalug.example/lugtest/crowdtest"
 	"vanillalug.example/peer"
 	"vanillalug.example/platform/platformtest"
 )
@@ -104,7 +103,7 @@
 }
 
 // every has the kinds that send something.
-var every = slices.DeleteFunc(slices.Sorted(maps.Keys(kinds)), func(k string) bool { return k == "silent" })
+var every = slices.DeleteFunc(slices.Sorted(maps.Keys(crowdtest.Kinds)), func(k string) bool { return k == "silent" })
 
 // TestCrowds guards against crowds of clients that bring a router to its end or past its memory or
 // its descriptors, or that keep it from serving others.
@@ -168,7 +167,7 @@
 		require.NoError(t, r.awaitAnswer(listener), "before the crowd: %s", r.logs())
 	}
 	highest := r.watchDescriptors(t)
-	leave := w.enter(r.addresses[p.listener], p.head)
+	leave := crowdtest.Crowd{Address: r.addresses[p.listener], Head: p.head, Kinds: w.kinds, Clients: w.clients}.Enter()
 	defer leave()
 	time.Sleep(stay)
 	err := r.answersAll()
@@ -177,7 +176,8 @@
 		t.Fatalf("the process has ended: %s", r.logs())
 	default:
 	}
-	peak := r.peakMemory(t)
+	peak, peakErr := crowdtest.PeakMemory(r.pid)
+	require.NoError(t, peakErr)
 	t.Logf("resident memory %d MiB at most, %d descriptors, answer: %v", peak>>20, highest.Load(), err)
 	require.NoError(t, err)
 	require.LessOrEqual(t, peak, memoryBound, "resident memory")
@@ -191,32 +191,6 @@
 	return w.target
 }
 
-// enter connects the clients of the crowd and waits until they have sent what the router reads.
-// The returned function ends their connections.
-func (w crowd) enter(address, head string) (leave func()) {
-	var mu sync.Mutex
-	var conns []net.Conn
-	var sending sync.WaitGroup
-	for i := range w.clients {
-		sending.Go(func() {
-			c, err := net.DialTimeout("tcp4", address, sendTimeout)
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			conns = append(conns, c)
-			mu.Unlock()
-			kinds[w.kinds[i%len(w.kinds)]](c, head)
-		})
-	}
-	sending.Wait()
-	return func() {
-		for _, c := range conns {
-			_ = c.Close()
-		}
-	}
-}
-
 // answersAll waits until an ordinary request at each listener is answered.
 func (r *router) answersAll() error {
 	for listener := range r.ordinary {
--- a/cmd/demo/crowd/router_test.go
+++ b/cmd/demo/crowd/router_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -18,6 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillalug.example/cmd/demo/stage"
+	"vanillalug.example/lugtest/crowdtest"
 	"vanillalug.example/peer"
 	"vanillalug.example/platform/platformtest"
 )
@@ -93,7 +93,7 @@
 	return &router{
 		pid: cmd.Process.Pid, exited: exited, addresses: addresses,
 		ordinary: map[string]ordinary{
-			"entry":   {http.MethodPost, "/once/x", header, platformtest.Host, filler[:ordinaryBytes]},
+			"entry":   {http.MethodPost, "/once/x", header, platformtest.Host, strings.Repeat("x", ordinaryBytes)},
 			"ready":   {method: http.MethodGet, path: "/readyz"},
 			"peers":   {http.MethodPost, peer.BeliefsPathPrefix + "GetBeliefs", http.Header{"Content-Type": {"application/protobuf"}}, "", ""},
 			"metrics": {method: http.MethodGet, path: "/metrics"},
@@ -122,7 +122,7 @@
 		},
 		ordinary: map[string]ordinary{
 			"callers": {
-				http.MethodPost, "/bookings/x", http.Header{"Authorization": {"Bearer " + stage.APIKey(workspace)}}, "", filler[:ordinaryBytes],
+				http.MethodPost, "/bookings/x", http.Header{"Authorization": {"Bearer " + stage.APIKey(workspace)}}, "", strings.Repeat("x", ordinaryBytes),
 			},
 			"operators": {method: http.MethodGet, path: "/metrics"},
 		},
@@ -185,16 +185,6 @@
 	return nil
 }
 
-// peakMemory returns the highest resident memory of the process so far, in bytes.
-func (r *router) peakMemory(t *testing.T) int {
-	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.pid))
-	require.NoError(t, err)
-	_, rest, _ := strings.Cut(string(status), "VmHWM:")
-	kib, err := strconv.Atoi(strings.Fields(rest)[0])
-	require.NoError(t, err)
-	return kib << 10
-}
-
 // watchDescriptors returns the highest number of descriptors that the process has had open from now
 // on, until the end of the test.
 func (r *router) watchDescriptors(t *testing.T) *atomic.Int64 {
@@ -203,8 +193,7 @@
 	t.Cleanup(func() { close(done) })
 	go func() {
 		for {
-			open, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.pid))
-			highest.Store(max(highest.Load(), int64(len(open))))
+			highest.Store(max(highest.Load(), int64(crowdtest.OpenDescriptors(r.pid))))
 			select {
 			case <-done:
 				return
--- a/cmd/demo/crowd/client_test.go
+++ b/lugtest/crowdtest/clients.go
@@ -1,4 +1,4 @@
-package crowd
+package crowdtest
 
 import (
 	"fmt"
@@ -6,10 +6,12 @@
 	"net"
 	"strings"
 	"time"
+
+	"vanillalug.example/platform/platformtest"
 )
 
 const (
-	maxBody = 4 << 20
+	maxBody = platformtest.BodyLimit
 	// sendTimeout bounds how long a client waits for the router to read; then it stays as it is.
 	sendTimeout = 4 * time.Second
 	pieceBytes  = 64 << 10
@@ -21,13 +23,13 @@
 
 var filler = strings.Repeat("x", maxBody)
 
-// kind is what one client of a crowd sends. head is the request line and the headers, without
+// Kind is what one client of a crowd sends. head is the request line and the headers, without
 // those on the body and without the empty line. After it has returned, the connection stays open.
-type kind func(c net.Conn, head string)
+type Kind func(c net.Conn, head string)
 
-// kinds are the misbehaving clients that docs/HARD-LOAD.md names. Errors of writes are ignored: the
+// Kinds are the misbehaving clients that docs/HARD-LOAD.md names. Errors of writes are ignored: the
 // router may refuse such a client.
-var kinds = map[string]kind{
+var Kinds = map[string]Kind{
 	"one byte short": func(c net.Conn, head string) {
 		send(c, head+length(maxBody), filler[1:], pieceBytes)
 	},
