soak: cold targets, and crowds of clients beside all other faults

The soak had no service with a cold start and no client that misbehaves, so a router without quotas for cold targets, or one that ends or takes more memory than its VM has, passed.

A third service has a cold start. Its targets are cold when they start, when their failure domain is restored, and at random times, at times with a new incarnation. In no second may a cold target get more than cold_per_s x 1.5 + 5 requests, from routers in touch or not. Where a target becomes cold by itself, requests count from 2 s on, in which the store must work: what is sent before anybody can know is not covered (docs/design/cold-targets.md).

Once in a run, 48 clients that send most of a body and stop, or don't read, come to a listener of one router. No process may end by itself, have more resident memory than memory-mb (136) or more open descriptors than 7/8 of its limit (1,024, set by a shell), and an ordinary request is answered beside the crowd.

All three are off where two builds run side by side, as an older build has none of it.

--- a/cmd/soak/fleet/caller.go
+++ b/cmd/soak/fleet/caller.go
@@ -25,7 +25,7 @@
 )
 
 // Paths are the request paths of the callers.
-var Paths = []string{"/safe/x", "/once/x", "/stream/x", "/broken/x"}
+var Paths = []string{"/safe/x", "/once/x", "/stream/x", "/broken/x", "/cold/x"}
 
 // Call is one request and its result at the caller.
 type Call struct {
--- a/cmd/soak/fleet/changes.go
+++ b/cmd/soak/fleet/changes.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"vanillalug.example/platform/platformtest"
@@ -43,7 +44,11 @@
 	route := func(prefix, kind, service string, resumable bool) platformtest.Route {
 		return platformtest.Route{Prefix: prefix, Kind: kind, Service: service, Attempts: 2, TimeoutMS: timeout, Resumable: resumable}
 	}
-	h.store.PutJSON("op", "config", platformtest.RoutingTable(v, []string{APIKey},
+	cold := route("/cold/", platformtest.Idempotent, coldService, false)
+	if h.hardLoad {
+		cold.ColdSeconds, cold.ColdRate = coldStart.Seconds(), coldRate
+	}
+	h.store.PutJSON("op", "config", platformtest.RoutingTable(v, []string{APIKey}, cold,
 		route("/safe/", platformtest.Idempotent, plainService, false),
 		route("/once/", platformtest.NonIdempotent, plainService, false),
 		route("/stream/", platformtest.Streaming, engineService, true),
@@ -70,7 +75,10 @@
 	h.targets = append(h.targets, t)
 	h.all = append(h.all, t)
 	h.mu.Unlock()
-	h.store.PutJSON("servers", id, t.Entry("ready"))
+	if service == coldService {
+		h.cool(t, coldStart, true)
+	}
+	h.putEntry(t, "ready")
 	return nil
 }
 
@@ -110,3 +118,10 @@
 	defer h.mu.Unlock()
 	return h.targets[random.IntN(len(h.targets))]
 }
+
+// inUse reports whether a target was not replaced.
+func (h *Harness) inUse(t *platformtest.Target) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Contains(h.targets, t)
+}
--- a/cmd/soak/fleet/check.go
+++ b/cmd/soak/fleet/check.go
@@ -81,6 +81,9 @@
 	violations = append(violations, h.checkStated(targets)...)
 	violations = append(violations, h.checkLimits(targets)...)
 	violations = append(violations, h.checkEvacuations(targets, callersStopped)...)
+	if h.hardLoad {
+		violations = append(violations, h.checkCold()...)
+	}
 	violations = append(violations, checkSoftwareVersions(targets)...)
 	return append(violations, h.checkRemoved()...)
 }
--- a/cmd/soak/fleet/check_evacuations.go
+++ b/cmd/soak/fleet/check_evacuations.go
@@ -131,7 +131,7 @@
 	for _, t := range targets {
 		for _, run := range t.Executions() {
 			c, known := calls[run.ID]
-			if !known || !h.runningAtEvacuation(t, run.At) || !h.tracker.quietBetween(run.At.Add(-quietPeriod), run.At.Add(callTimeout)) {
+			if t.Service != engineService || !known || !h.runningAtEvacuation(t, run.At) || !h.tracker.quietBetween(run.At.Add(-quietPeriod), run.At.Add(callTimeout)) {
 				continue
 			}
 			violations = append(violations, endedProperly(t.ID, c, runs[run.ID])...)
--- a/cmd/soak/fleet/evacuate.go
+++ b/cmd/soak/fleet/evacuate.go
@@ -25,9 +25,8 @@
 // places are the failure domains of the targets.
 var places = []string{"a", "b"}
 
-// placeOf returns the failure domain of the nth target. Both kinds of target and both software
-// versions are in each of them.
-func placeOf(n int) string { return places[(n-1)/2%len(places)] }
+// placeOf returns the failure domain of the nth target. Each has targets of every service.
+func placeOf(n int) string { return places[(n-1)/len(services)%len(places)] }
 
 // evacuation is the time for which a failure domain was evacuated.
 type evacuation struct {
@@ -98,6 +97,7 @@
 	h.evacuated[place] = false
 	last := &h.evacuations[len(h.evacuations)-1]
 	last.removed, last.ready = time.Now(), h.readyTargets(place)
+	h.coolRestored(*last)
 	h.putEvacuation(place)
 	h.record(fmt.Sprintf("%s restored", place))
 }
--- a/cmd/soak/fleet/harness.go
+++ b/cmd/soak/fleet/harness.go
@@ -20,6 +20,8 @@
 	changeInterval = 3 * time.Second
 )
 
+var services = []string{plainService, engineService, coldService}
+
 // Size is the size of a fleet.
 type Size struct {
 	Routers int
@@ -28,7 +30,8 @@
 	// Callers is the number of callers of each router.
 	Callers int
 	// OtherBuild is the path of another build's binary, or "". Every second router begins with
-	// it, and all change from one to the other when they restart.
+	// it, and all change from one to the other when they restart. It may be older than evacuations
+	// and cold targets, which it ignores, so there are none then.
 	OtherBuild string
 }
 
@@ -46,6 +49,12 @@
 	backups     []platformtest.Backup
 	evacuated   map[string]bool
 	evacuations []evacuation
+	coldPeriods []coldPeriod
+	// heartbeats are the numbers of the targets' entries.
+	heartbeats map[*platformtest.Target]int
+	// hardLoad is set if all routers know evacuations and cold targets, and bound what they hold for
+	// callers.
+	hardLoad bool
 
 	mu      sync.Mutex
 	targets []*platformtest.Target
@@ -54,6 +63,7 @@
 	// draining holds the removed targets whose entries stay.
 	draining   map[*platformtest.Target]bool
 	events     []string
+	violations []string
 	version    int
 	lastTarget int
 	start      time.Time
@@ -64,12 +74,13 @@
 func NewHarness(bin, dir string, size Size) (*Harness, error) {
 	h := &Harness{
 		CallLog: &CallLog{}, store: platformtest.NewStore(), tracker: &FaultTracker{}, contact: newContact(), evacuated: map[string]bool{},
+		heartbeats: map[*platformtest.Target]int{}, hardLoad: size.OtherBuild == "",
 		removed: map[*platformtest.Target]time.Time{}, draining: map[*platformtest.Target]bool{}, start: time.Now(),
 	}
 	h.store.SetEpoch(1)
 	h.publish()
 	for range size.Targets {
-		for _, service := range []string{plainService, engineService} {
+		for _, service := range services {
 			if err := h.addTarget(service); err != nil {
 				return h, err
 			}
@@ -155,6 +166,13 @@
 	h.events = append(h.events, fmt.Sprintf("%7.3f %s", time.Since(h.start).Seconds(), text))
 }
 
+// violate records violations.
+func (h *Harness) violate(found ...string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.violations = append(h.violations, found...)
+}
+
 // resumeRouters resumes every process that may be paused.
 func (h *Harness) resumeRouters() {
 	for _, r := range h.Routers {
--- a/cmd/soak/fleet/restore.go
+++ b/cmd/soak/fleet/restore.go
@@ -58,20 +58,21 @@
 		h.putEvacuation(place)
 	}
 	for _, t := range ready {
-		h.store.PutJSON("servers", t.ID, t.Entry("ready"))
+		h.putEntry(t, "ready")
 	}
 	for _, t := range removed {
 		h.putRemoved(t)
 	}
 }
 
-// putRemoved writes the entry of a removed target that is draining, or deletes it.
+// putRemoved writes the entry of a removed target that is draining, or deletes it; the caller holds
+// registryMu.
 func (h *Harness) putRemoved(t *platformtest.Target) {
 	h.mu.Lock()
 	draining := h.draining[t]
 	h.mu.Unlock()
 	if draining {
-		h.store.PutJSON("servers", t.ID, t.Entry("draining"))
+		h.putEntry(t, "draining")
 		return
 	}
 	h.store.Delete("servers", t.ID)
--- a/cmd/soak/fleet/router.go
+++ b/cmd/soak/fleet/router.go
@@ -59,9 +59,9 @@
 	if r.StoreProxy, err = NewProxy(store); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf("[router]\nname = %s\nplace = a\n[listen]\nentry = %s\nready = %s\npeers = %s\nmetrics = %s\n"+
+	text := fmt.Sprintf("[router]\nname = %s\nplace = a\nmemory-mb = %d\n[listen]\nentry = %s\nready = %s\npeers = %s\nmetrics = %s\n"+
 		"[store]\naddress = %s\n[retries]\nratio = 0.2\nextra = 100\nwindow = 10s\n[times]\ngrace = %s\n",
-		name, r.entry, r.ready, r.peers, addresses[3], r.StoreProxy.Address(), grace)
+		name, memoryMB, r.entry, r.ready, r.peers, addresses[3], r.StoreProxy.Address(), grace)
 	return r, os.WriteFile(r.settings(), []byte(text), 0o600)
 }
 
@@ -111,7 +111,7 @@
 func (r *Router) runOnce(out *os.File) bool {
 	bin := r.builds[r.starts%len(r.builds)]
 	r.starts++
-	cmd := exec.Command(bin, "-deployment", r.settings())
+	cmd := exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, descriptorLimit), bin, "-deployment", r.settings())
 	cmd.Stdout, cmd.Stderr = out, out
 	r.mu.Lock()
 	if r.stopped {
--- a/cmd/soak/fleet/run.go
+++ b/cmd/soak/fleet/run.go
@@ -24,6 +24,10 @@
 	killAllStream = 1<<20 + 2
 	// evacuateStream is that of EvacuatePlaces.
 	evacuateStream = 1<<20 + 3
+	// coldStream is that of CoolTargets.
+	coldStream = 1<<20 + 4
+	// crowdStream is that of CrowdRouter.
+	crowdStream = 1<<20 + 5
 )
 
 // Report is the result of a run.
@@ -57,25 +61,33 @@
 			callers.Go(func() { h.CallLog.RunCaller(fmt.Sprintf("c%d-%d", i, j), r, other, random, stop) })
 		}
 	}
-	var probeViolations []string
-	others.Go(func() { probeViolations = h.ProbeVersions(stop) })
-	waitForChanges := h.startChanges(size, seed, length)
+	others.Go(func() { h.violate(h.ProbeVersions(stop)...) })
+	if h.hardLoad {
+		others.Go(func() { h.SendHeartbeats(stop) })
+		others.Go(func() { h.violate(h.WatchUsage(stop)...) })
+	}
+	waitForChanges := h.startChanges(seed, length)
 	h.InjectFaults(rand.New(rand.NewPCG(seed, 0)), end)
 	reconfigureErr := waitForChanges()
 	h.AwaitQuiet(returnTimeout)
 	h.resumeRouters()
 	if err := h.AwaitReady(); err != nil {
-		probeViolations = append(probeViolations, err.Error())
+		h.violate(err.Error())
 	}
 	callersStopped := time.Now()
 	close(stop)
 	callers.Wait()
 	others.Wait()
-	report.Violations = append(h.checkRecovery(), probeViolations...)
+	h.violate(h.checkRecovery()...)
 	time.Sleep(completionTime)
-	report.Violations = append(report.Violations, h.Check(callersStopped)...)
-	report.Events = h.Events()
-	for _, c := range h.CallLog.Calls() {
+	h.violate(h.Check(callersStopped)...)
+	report.Violations, report.Events = h.violations, h.Events()
+	report.count(h.CallLog.Calls())
+	return report, reconfigureErr
+}
+
+func (report *Report) count(calls []Call) {
+	for _, c := range calls {
 		report.Calls++
 		if c.Resumes != "" && c.Status != 0 {
 			report.TakenUp++
@@ -87,12 +99,11 @@
 			report.Served++
 		}
 	}
-	return report, reconfigureErr
 }
 
 // startChanges starts everything beside InjectFaults that changes the fleet for the given length of
 // time. The returned function waits until all of it has ended.
-func (h *Harness) startChanges(size Size, seed uint64, length time.Duration) (wait func() error) {
+func (h *Harness) startChanges(seed uint64, length time.Duration) (wait func() error) {
 	end := time.Now().Add(length)
 	var changes sync.WaitGroup
 	var reconfigureErr error
@@ -100,8 +111,9 @@
 	changes.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
 	changes.Go(func() { h.KillAllRouters(rand.New(rand.NewPCG(seed, killAllStream)), length) })
 	changes.Go(func() { reconfigureErr = h.Reconfigure(rand.New(rand.NewPCG(seed, 1)), end) })
-	if size.OtherBuild == "" {
-		// An older build ignores evacuations until it is replaced.
+	if h.hardLoad {
+		changes.Go(func() { h.CoolTargets(rand.New(rand.NewPCG(seed, coldStream)), end) })
+		changes.Go(func() { h.violate(h.CrowdRouter(rand.New(rand.NewPCG(seed, crowdStream)), length)...) })
 		changes.Go(func() { h.EvacuatePlaces(rand.New(rand.NewPCG(seed, evacuateStream)), end) })
 	}
 	return func() error {
