--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -19,7 +19,8 @@
     soak -router BIN [-other BIN] [-seed N] [-seeds K] [-for D] [-routers N] [-targets N] [-callers N] [-logs DIR]
 
 With -other, every second router runs that build first, and each changes the build when it
-restarts: they must work side by side. Each seed runs on a new fleet. The logs of a failed seed are kept in the folder,
+restarts: they must work side by side, without evacuations, cold targets and crowds of
+clients, which an older build doesn't know. Each seed runs on a new fleet. The logs of a failed seed are kept in the folder,
 with the injected faults and other changes (faults.txt). Only processes that soak
 started are signalled, by their ids.
 
