--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -20,9 +20,9 @@
 
 With -other, every second router runs that build first, and each changes the build when it
 restarts: they must work side by side, without evacuations, cold targets and crowds of
-clients, which an older build doesn't know. Each seed runs on a new fleet. The logs of a failed seed are kept in the folder,
-with the injected faults and other changes (faults.txt). Only processes that soak
-started are signalled, by their ids.
+clients, which an older build doesn't know. Each seed runs on a new fleet. The logs of a
+failed seed are kept in the folder, with the injected faults and other changes
+(faults.txt). Only processes that soak started are signalled, by their ids.
 
 Exit codes: 0 when no guarantee was violated, 1 when one was, 2 for invalid flags
 or a fleet that did not start.
