--- a/cmd/soak/fleet/check_evacuations_test.go
+++ b/cmd/soak/fleet/check_evacuations_test.go
@@ -30,7 +30,7 @@
 func TestEvacuatedDomainIsSentRequests(t *testing.T) {
 	tests := map[string]struct {
 		at                    float64
-		disrupted             float64
+		disrupted, started    float64
 		link, fault, replaced [2]float64
 		unknown               bool
 		late                  bool
@@ -39,8 +39,10 @@
 		"after the bound":               {at: 5.1, late: true},
 		"after the domain was restored": {at: 10.1},
 		"not a caller's request":        {at: 5.1, unknown: true},
-		"router was paused":             {at: 6, disrupted: 1},
-		"router was paused long before": {at: 9.5, disrupted: 1, late: true},
+		"router was paused":             {at: 6, disrupted: 2.1},
+		"router was paused before":      {at: 6, disrupted: 1.9, late: true},
+		"router has just started":       {at: 6, started: 2.1},
+		"router started before":         {at: 6, started: 1.9, late: true},
 		"store is silent":               {at: 6, fault: [2]float64{3, 9}},
 		"store was silent before":       {at: 9.5, fault: [2]float64{1, 5}, late: true},
 		"path to the store is cut":      {at: 6, link: [2]float64{3, 9}},
@@ -55,6 +57,9 @@
 			if tt.disrupted != 0 {
 				r.disruptions = []time.Time{seconds(tt.disrupted)}
 			}
+			if tt.started != 0 {
+				r.startTimes = []time.Time{seconds(tt.started)}
+			}
 			r.storeLink.spans = trackerOf(tt.link[0], tt.link[1]).spans
 			c := contact{storeFaults: trackerOf(tt.fault[0], tt.fault[1]), storeReplaced: trackerOf(tt.replaced[0], tt.replaced[1])}
 			a := sentArrival{Arrival: platformtest.Arrival{At: seconds(tt.at), ID: "c-1"}, router: r}
--- a/cmd/soak/fleet/cold.go
+++ b/cmd/soak/fleet/cold.go
@@ -73,10 +73,7 @@
 // coolRestored makes the targets of a failure domain cold that is about to be restored; the caller
 // holds registryMu. Routers can know of it if all of them have known of the evacuation.
 func (h *Harness) coolRestored(e evacuation) {
-	announced := !e.removed.Before(e.deadline(h.contact))
-	for _, r := range h.Routers {
-		announced = announced && h.contact.inTouch(r, e.removed)
-	}
+	announced := !e.removed.Before(e.deadline(h.contact)) && h.allInTouch(e.removed)
 	for _, t := range e.ready {
 		if t.Service == coldService {
 			h.cool(t, coldStart, announced)
--- a/cmd/soak/fleet/contact.go
+++ b/cmd/soak/fleet/contact.go
@@ -22,5 +22,5 @@
 // inTouch reports whether a router was in touch at a time.
 func (c contact) inTouch(r *Router, at time.Time) bool {
 	since := at.Add(-contactTime)
-	return !r.DisruptedBetween(since, at) && r.storeLink.quietBetween(since, at) && c.storeFaults.quietBetween(since, at)
+	return r.ranBetween(since, at) && r.storeLink.quietBetween(since, at) && c.storeFaults.quietBetween(since, at)
 }
--- a/cmd/soak/fleet/evacuate.go
+++ b/cmd/soak/fleet/evacuate.go
@@ -20,6 +20,10 @@
 	// failure domain within a second.
 	evacuateAgainOneIn = 3
 	evacuateAgainTime  = time.Second
+	// lastTime is for how long requests count in the last evacuation, and lastTimeout how long that
+	// takes at most: the extended bound, and faults that end late.
+	lastTime    = time.Second
+	lastTimeout = 20 * time.Second
 	// disturbOneIn makes a fault begin together with one write of a row in so many.
 	disturbOneIn = 4
 )
@@ -64,9 +68,34 @@
 		}
 		h.setStreams(place, platformtest.Serve)
 	}
+	h.evacuateLast(places[random.IntN(len(places))], random)
 	time.Sleep(returnTimeout)
 }
 
+// evacuateLast evacuates a failure domain when no more faults begin, until requests have counted for
+// lastTime, so that every seed checks some.
+func (h *Harness) evacuateLast(place string, random *rand.Rand) {
+	h.disturb(random)
+	h.evacuate(place)
+	last := h.evacuations[len(h.evacuations)-1]
+	for limit := time.Now().Add(lastTimeout); time.Now().Before(limit); time.Sleep(pollInterval) {
+		counted := time.Now().Add(-lastTime)
+		if counted.After(last.deadline(h.contact)) && h.allInTouch(counted) {
+			break
+		}
+	}
+	h.restorePlace(place)
+}
+
+func (h *Harness) allInTouch(at time.Time) bool {
+	for _, r := range h.Routers {
+		if !h.contact.inTouch(r, at) {
+			return false
+		}
+	}
+	return true
+}
+
 // disturb begins a fault at times.
 func (h *Harness) disturb(random *rand.Rand) {
 	if random.IntN(disturbOneIn) == 0 {
--- a/cmd/soak/fleet/router.go
+++ b/cmd/soak/fleet/router.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -45,6 +46,8 @@
 	requestedExits int
 	// disruptions are the times of signals that end, pause or resume the process.
 	disruptions []time.Time
+	// startTimes are when the process was started.
+	startTimes []time.Time
 }
 
 // NewRouter writes the settings of a router and starts its proxies, but not the
@@ -123,6 +126,7 @@
 	err := cmd.Start()
 	if err == nil {
 		r.process = cmd.Process
+		r.startTimes = append(r.startTimes, time.Now())
 	}
 	r.mu.Unlock()
 	if err != nil {
@@ -166,6 +170,19 @@
 	return false
 }
 
+// ranBetween reports whether the same process ran between the two times and got no signal that
+// disturbs it. No pause is longer than the contact bound, and the signal that ends it counts.
+func (r *Router) ranBetween(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, at := range slices.Concat(r.disruptions, r.startTimes) {
+		if at.After(from) && at.Before(to) {
+			return false
+		}
+	}
+	return true
+}
+
 // PID returns the id of the process, or false if none runs.
 func (r *Router) PID() (pid int, ok bool) {
 	r.mu.Lock()
