--- a/cmd/soak/fleet/evacuate.go
+++ b/cmd/soak/fleet/evacuate.go
@@ -31,7 +31,7 @@
 // disturbances are the faults that the news of an evacuation may meet.
 var disturbances = []fault{failStore, killAllRouters, killRouter, stopRouter, pauseRouter, disruptStoreLink, compactStore}
 
-// places are the failure domains of the targets.
+// places are the failure domains of the targets and of the routers, which prefer targets of their own.
 var places = []string{"a", "b"}
 
 // placeOf returns the failure domain of the nth target. Each has targets of every service.
--- a/cmd/soak/fleet/harness.go
+++ b/cmd/soak/fleet/harness.go
@@ -94,7 +94,7 @@
 		return h, err
 	}
 	for i := range size.Routers {
-		r, err := NewRouter(bin, dir, fmt.Sprintf("r%d", i), h.store.Address())
+		r, err := NewRouter(bin, dir, fmt.Sprintf("r%d", i), places[i%len(places)], h.store.Address())
 		if err != nil {
 			return h, err
 		}
--- a/cmd/soak/fleet/router.go
+++ b/cmd/soak/fleet/router.go
@@ -52,7 +52,7 @@
 
 // NewRouter writes the settings of a router and starts its proxies, but not the
 // process.
-func NewRouter(bin, dir, name, store string) (*Router, error) {
+func NewRouter(bin, dir, name, place, store string) (*Router, error) {
 	addresses, err := freeAddresses(4)
 	if err != nil {
 		return nil, err
@@ -64,9 +64,9 @@
 	if r.StoreProxy, err = NewProxy(store); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf("[router]\nname = %s\nplace = a\nmemory-mb = %d\n[listen]\nentry = %s\nready = %s\npeers = %s\nmetrics = %s\n"+
+	text := fmt.Sprintf("[router]\nname = %s\nplace = %s\nmemory-mb = %d\n[listen]\nentry = %s\nready = %s\npeers = %s\nmetrics = %s\n"+
 		"[store]\naddress = %s\n[retries]\nratio = 0.2\nextra = 100\nwindow = 10s\n[times]\ngrace = %s\n",
-		name, memoryMB, r.entry, r.ready, r.peers, addresses[3], r.StoreProxy.Address(), grace)
+		name, place, memoryMB, r.entry, r.ready, r.peers, addresses[3], r.StoreProxy.Address(), grace)
 	return r, os.WriteFile(r.settings(), []byte(text), 0o600)
 }
 
