--- a/cmd/soak/fleet/harness.go
+++ b/cmd/soak/fleet/harness.go
@@ -20,6 +20,8 @@
 	changeInterval = 3 * time.Second
 )
 
+var services = []string{plainService, engineService, coldService}
+
 // Size is the size of a fleet.
 type Size struct {
 	Routers int
@@ -28,7 +30,8 @@
 	// Callers is the number of callers of each router.
 	Callers int
 	// OtherBuild is the path of another build's binary, or "". Every second router begins with
-	// it, and all change from one to the other when they restart.
+	// it, and all change from one to the other when they restart. It may be older than evacuations
+	// and cold targets, which it ignores, so there are none then.
 	OtherBuild string
 }
 
@@ -39,18 +42,30 @@
 
 	store   *platformtest.Store
 	tracker *FaultTracker
-
-	// registryMu serializes changes of the registry and of the routing table.
-	registryMu sync.Mutex
-	backups    []platformtest.Backup
+	contact contact
+
+	// registryMu serializes changes of the registry, of the routing table and of evacuations.
+	registryMu  sync.Mutex
+	backups     []platformtest.Backup
+	evacuated   map[string]bool
+	evacuations []evacuation
+	coldPeriods []coldPeriod
+	// heartbeats are the numbers of the targets' entries.
+	heartbeats map[*platformtest.Target]int
+	// hardLoad is set if all routers know evacuations and cold targets, and bound what they hold for
+	// callers.
+	hardLoad bool
 
 	mu      sync.Mutex
 	targets []*platformtest.Target
 	all     []*platformtest.Target
 	removed map[*platformtest.Target]time.Time
+	// targetFaults has the faults of targets themselves.
+	targetFaults map[*platformtest.Target]*FaultTracker
 	// draining holds the removed targets whose entries stay.
 	draining   map[*platformtest.Target]bool
 	events     []string
+	violations []string
 	version    int
 	lastTarget int
 	start      time.Time
@@ -60,13 +75,15 @@
 // dir. After an error, the caller still has to call Stop.
 func NewHarness(bin, dir string, size Size) (*Harness, error) {
 	h := &Harness{
-		CallLog: &CallLog{}, store: platformtest.NewStore(), tracker: &FaultTracker{},
-		removed: map[*platformtest.Target]time.Time{}, draining: map[*platformtest.Target]bool{}, start: time.Now(),
+		CallLog: &CallLog{}, store: platformtest.NewStore(), tracker: &FaultTracker{}, contact: newContact(), evacuated: map[string]bool{},
+		heartbeats: map[*platformtest.Target]int{}, hardLoad: size.OtherBuild == "",
+		targetFaults: map[*platformtest.Target]*FaultTracker{},
+		removed:      map[*platformtest.Target]time.Time{}, draining: map[*platformtest.Target]bool{}, start: time.Now(),
 	}
 	h.store.SetEpoch(1)
 	h.publish()
 	for range size.Targets {
-		for _, service := range []string{plainService, engineService} {
+		for _, service := range services {
 			if err := h.addTarget(service); err != nil {
 				return h, err
 			}
@@ -77,7 +94,7 @@
 		return h, err
 	}
 	for i := range size.Routers {
-		r, err := NewRouter(bin, dir, fmt.Sprintf("r%d", i), h.store.Address())
+		r, err := NewRouter(bin, dir, fmt.Sprintf("r%d", i), places[i%len(places)], h.store.Address())
 		if err != nil {
 			return h, err
 		}
@@ -152,6 +169,13 @@
 	h.events = append(h.events, fmt.Sprintf("%7.3f %s", time.Since(h.start).Seconds(), text))
 }
 
+// violate records violations.
+func (h *Harness) violate(found ...string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.violations = append(h.violations, found...)
+}
+
 // resumeRouters resumes every process that may be paused.
 func (h *Harness) resumeRouters() {
 	for _, r := range h.Routers {
--- a/cmd/soak/fleet/router.go
+++ b/cmd/soak/fleet/router.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -33,6 +34,10 @@
 	ready  string
 	entry  string
 	peers  string
+	// storeLink has the faults of the connections to the store.
+	storeLink FaultTracker
+	// callerLink has those of the connections from callers.
+	callerLink FaultTracker
 
 	mu             sync.Mutex
 	process        *os.Process
@@ -41,11 +46,13 @@
 	requestedExits int
 	// disruptions are the times of signals that end, pause or resume the process.
 	disruptions []time.Time
+	// startTimes are when the process was started.
+	startTimes []time.Time
 }
 
 // NewRouter writes the settings of a router and starts its proxies, but not the
 // process.
-func NewRouter(bin, dir, name, store string) (*Router, error) {
+func NewRouter(bin, dir, name, place, store string) (*Router, error) {
 	addresses, err := freeAddresses(4)
 	if err != nil {
 		return nil, err
@@ -57,9 +64,9 @@
 	if r.StoreProxy, err = NewProxy(store); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf("[router]\nname = %s\nplace = a\n[listen]\nentry = %s\nready = %s\npeers = %s\nmetrics = %s\n"+
+	text := fmt.Sprintf("[router]\nname = %s\nplace = %s\nmemory-mb = %d\n[listen]\nentry = %s\nready = %s\npeers = %s\nmetrics = %s\n"+
 		"[store]\naddress = %s\n[retries]\nratio = 0.2\nextra = 100\nwindow = 10s\n[times]\ngrace = %s\n",
-		name, r.entry, r.ready, r.peers, addresses[3], r.StoreProxy.Address(), grace)
+		name, place, memoryMB, r.entry, r.ready, r.peers, addresses[3], r.StoreProxy.Address(), grace)
 	return r, os.WriteFile(r.settings(), []byte(text), 0o600)
 }
 
@@ -109,7 +116,7 @@
 func (r *Router) runOnce(out *os.File) bool {
 	bin := r.builds[r.starts%len(r.builds)]
 	r.starts++
-	cmd := exec.Command(bin, "-deployment", r.settings())
+	cmd := exec.Command("sh", "-c", fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, descriptorLimit), bin, "-deployment", r.settings())
 	cmd.Stdout, cmd.Stderr = out, out
 	r.mu.Lock()
 	if r.stopped {
@@ -119,6 +126,7 @@
 	err := cmd.Start()
 	if err == nil {
 		r.process = cmd.Process
+		r.startTimes = append(r.startTimes, time.Now())
 	}
 	r.mu.Unlock()
 	if err != nil {
@@ -162,6 +170,19 @@
 	return false
 }
 
+// ranBetween reports whether the same process ran between the two times and got no signal that
+// disturbs it. No pause is longer than the contact bound, and the signal that ends it counts.
+func (r *Router) ranBetween(from, to time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, at := range slices.Concat(r.disruptions, r.startTimes) {
+		if at.After(from) && at.Before(to) {
+			return false
+		}
+	}
+	return true
+}
+
 // PID returns the id of the process, or false if none runs.
 func (r *Router) PID() (pid int, ok bool) {
 	r.mu.Lock()
--- a/cmd/soak/fleet/run.go
+++ b/cmd/soak/fleet/run.go
@@ -22,6 +22,12 @@
 	limitStream = 1<<20 + 1
 	// killAllStream is that of KillAllRouters.
 	killAllStream = 1<<20 + 2
+	// evacuateStream is that of EvacuatePlaces.
+	evacuateStream = 1<<20 + 3
+	// coldStream is that of CoolTargets.
+	coldStream = 1<<20 + 4
+	// crowdStream is that of CrowdRouter.
+	crowdStream = 1<<20 + 5
 )
 
 // Report is the result of a run.
@@ -55,27 +61,33 @@
 			callers.Go(func() { h.CallLog.RunCaller(fmt.Sprintf("c%d-%d", i, j), r, other, random, stop) })
 		}
 	}
-	var probeViolations []string
-	var reconfigureErr error
-	others.Go(func() { probeViolations = h.ProbeVersions(stop) })
-	others.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
-	others.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
-	others.Go(func() { h.KillAllRouters(rand.New(rand.NewPCG(seed, killAllStream)), length) })
-	others.Go(func() { reconfigureErr = h.Reconfigure(rand.New(rand.NewPCG(seed, 1)), end) })
+	others.Go(func() { h.violate(h.ProbeVersions(stop)...) })
+	if h.hardLoad {
+		others.Go(func() { h.SendHeartbeats(stop) })
+		others.Go(func() { h.violate(h.WatchUsage(stop)...) })
+	}
+	waitForChanges := h.startChanges(seed, length)
 	h.InjectFaults(rand.New(rand.NewPCG(seed, 0)), end)
-	h.AwaitQuiet(quietPeriod)
+	reconfigureErr := waitForChanges()
+	h.AwaitQuiet(returnTimeout)
 	h.resumeRouters()
 	if err := h.AwaitReady(); err != nil {
-		probeViolations = append(probeViolations, err.Error())
+		h.violate(err.Error())
 	}
+	callersStopped := time.Now()
 	close(stop)
 	callers.Wait()
 	others.Wait()
-	report.Violations = append(h.checkRecovery(), probeViolations...)
+	h.violate(h.checkRecovery()...)
 	time.Sleep(completionTime)
-	report.Violations = append(report.Violations, h.Check()...)
-	report.Events = h.Events()
-	for _, c := range h.CallLog.Calls() {
+	h.violate(h.Check(callersStopped)...)
+	report.Violations, report.Events = h.violations, h.Events()
+	report.count(h.CallLog.Calls())
+	return report, reconfigureErr
+}
+
+func (report *Report) count(calls []Call) {
+	for _, c := range calls {
 		report.Calls++
 		if c.Resumes != "" && c.Status != 0 {
 			report.TakenUp++
@@ -87,7 +99,27 @@
 			report.Served++
 		}
 	}
-	return report, reconfigureErr
+}
+
+// startChanges starts everything beside InjectFaults that changes the fleet for the given length of
+// time. The returned function waits until all of it has ended.
+func (h *Harness) startChanges(seed uint64, length time.Duration) (wait func() error) {
+	end := time.Now().Add(length)
+	var changes sync.WaitGroup
+	var reconfigureErr error
+	changes.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
+	changes.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
+	changes.Go(func() { h.KillAllRouters(rand.New(rand.NewPCG(seed, killAllStream)), length) })
+	changes.Go(func() { reconfigureErr = h.Reconfigure(rand.New(rand.NewPCG(seed, 1)), end) })
+	if h.hardLoad {
+		changes.Go(func() { h.CoolTargets(rand.New(rand.NewPCG(seed, coldStream)), end) })
+		changes.Go(func() { h.violate(h.CrowdRouter(rand.New(rand.NewPCG(seed, crowdStream)), length)...) })
+		changes.Go(func() { h.EvacuatePlaces(rand.New(rand.NewPCG(seed, evacuateStream)), end) })
+	}
+	return func() error {
+		changes.Wait()
+		return reconfigureErr
+	}
 }
 
 // checkRecovery returns a violation for each router that serves too few requests
