--- a/cmd/measure/gateway/fleet.go
+++ b/cmd/measure/gateway/fleet.go
@@ -47,7 +47,7 @@
 		s.store.PutJSON("servers", t.ID, entry)
 	}
 	for i := range routers {
-		r, err := fleet.NewRouter(bin, dir, fmt.Sprintf("r%d", i), s.store.Address())
+		r, err := fleet.NewRouter(bin, dir, fmt.Sprintf("r%d", i), "a", s.store.Address())
 		if err != nil {
 			return nil, err
 		}
