gateway: comments give the reason instead of a measured share

The newcomer's reading found two comments that justify a rule by a figure of one measurement. Comments only.

--- a/cmd/router/gateway/observe_capacity.go
+++ b/cmd/router/gateway/observe_capacity.go
@@ -199,8 +199,8 @@
 }
 
 // observationsTime returns the time of the observations that a datagram has: those since the peers
-// that get it got one before. A change is sent to every peer several times at short intervals; with
-// the same observations each time, they were a quarter of all bytes between routers.
+// that get it got one before. A change is sent to every peer several times in a row, which would
+// repeat the same observations.
 func (p *peers) observationsTime(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/cmd/router/gateway/peers_share_due.go
+++ b/cmd/router/gateway/peers_share_due.go
@@ -12,8 +12,8 @@
 // some intervals are skipped.
 //
 // A new version of the registry is sent to everyone only by the routers that follow the store:
-// each of the others has it from one of them. Sent on by all, it was most of the bytes between
-// 131 routers. Every router does so with a routing table, as the routers that have it pass it on.
+// each of the others has it from one of them. If all sent it on, its bytes would grow with the square
+// of their number. Every router does so with a routing table, as the routers that have it pass it on.
 func (p *peers) shareDue(busy, followsStore bool, current versions) (due, changed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/cmd/router/gateway/share_test.go
+++ b/cmd/router/gateway/share_test.go
@@ -39,8 +39,8 @@
 	require.Greater(t, len(message), maxDatagram/2, "the share has all of its kinds of content")
 }
 
-// TestNewVersionsAreSentToEveryone guards against most of the bytes between many routers being news of the
-// registry that each of them sends on, and against a routing table, or news read from the store, waiting for its turn.
+// TestNewVersionsAreSentToEveryone guards against bytes that grow with the square of the routers, as each
+// sends news of the registry on to all, and against a routing table, or news read from the store, waiting for its turn.
 func TestNewVersionsAreSentToEveryone(t *testing.T) {
 	tests := map[string]struct {
 		followsStore bool
