gateway: how long a newer routing table is known before it is in force

Callers saw an old table in use seconds after the new one was acknowledged. The logs had when a version became active, and nothing of a router that knows of a newer one and lacks it: they couldn't tell a router that hears nothing from one that waits for a peer or for the store.

A router now measures the time from the first report of a newer version until it is active (log fields known-for and calls-to-peers, a histogram), says so once for each version after a second without it, with its role and whether a response of the store is arriving, and counts the calls that were to bring a table by source, result and bytes. No decision changes.

--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -126,10 +126,13 @@
 // doesn't compress a large routing table sends it only if insist is set.
 func (g *Gateway) syncFromPeer(ctx context.Context, address netip.AddrPort, insist bool) {
 	current := g.versions()
+	g.tableLag.call()
+	start := g.clock.Now()
 	reply, err := g.callPeer(ctx, address, current, &peer.GetBeliefsRequest{Insist: insist})
 	if err != nil {
+		countTableTransfer(tableFromPeer, "failed", 0)
 		g.log.Warn("a peer did not tell what it knows", "peer", address.String(), "version", current.table,
-			"revision", current.registry, "error", err)
+			"revision", current.registry, "after", g.clock.Now().Sub(start).String(), "error", err)
 		return
 	}
 	g.applyReply(reply, address, current)
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -113,6 +113,10 @@
 	catchUpSignal chan struct{}
 	// tableSends limits the bytes of routing tables that are sent to peers.
 	tableSends *rate.Limiter
+	// tableLag is since when a newer routing table is known; loggedLag is the version of the last one
+	// that was logged as late, which only maintain uses.
+	tableLag  tableLag
+	loggedLag uint64
 
 	table     atomic.Pointer[activeTable]
 	upstreams atomic.Pointer[upstreamSet]
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -133,6 +133,7 @@
 	}
 	g.peers.update(s.From, reported)
 	current := g.versions()
+	g.tableLag.hear(reported.table, current.table, now)
 	switch {
 	case current.behind(reported):
 		g.requestCatchUp()
--- a/cmd/router/gateway/table_transfer.go
+++ b/cmd/router/gateway/table_transfer.go
@@ -61,8 +61,10 @@
 		}
 	}
 	if len(raw) == 0 {
+		countTableTransfer(tableFromPeer, "none", 0)
 		return
 	}
+	countTableTransfer(tableFromPeer, "whole", len(reply.Plan)+len(reply.CompressedPlan))
 	g.applyTable(&activeTable{raw: raw, compressed: reply.CompressedPlan, revision: planRevision(reply)}, source)
 	if !g.table.Load().includes(planRevision(reply)) || !g.evacuations.completeAt(planRevision(reply)) {
 		return
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"vanillalug.example"
+	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/crew"
 	"vanillalug.example/fitting"
 	"vanillalug.example/platform"
@@ -14,7 +15,8 @@
 func (g *Gateway) applyTableRows(rows platform.Rows) {
 	for _, r := range rows.All() {
 		if platform.IsRoutingTable(r) {
-			g.applyTable(&activeTable{raw: r.Value(), revision: r.Revision()}, "store")
+			countTableTransfer(tableFromStore, "whole", len(r.Value()))
+			g.applyTable(&activeTable{raw: r.Value(), revision: r.Revision()}, sourceStore)
 		}
 	}
 }
@@ -43,7 +45,10 @@
 			break
 		}
 	}
-	g.log.Info("routing table in force", "version", table.Version(), "source", source, "bytes", len(next.raw))
+	lag, calls := g.tableLag.activate(table.Version(), g.clock.Now())
+	meter.ObserveBy("routing_table_lag", lag)
+	g.log.Info("routing table in force", "version", table.Version(), "source", source, "bytes", len(next.raw),
+		"revision", next.revision, "known-for", lag.String(), "calls-to-peers", calls)
 }
 
 // includes reports whether the table is as of a revision of the store or later, so that
@@ -204,6 +209,7 @@
 	g.updateView(crew.Tick{At: now})
 	g.logFailingTargets(now)
 	g.maintainEvacuations(now)
+	g.reportTableLag(now)
 	g.logCold(now)
 	g.reportSlowTargets(now)
 	upstreams := g.upstreams.Load()
--- a/cmd/router/gateway/watch_call.go
+++ b/cmd/router/gateway/watch_call.go
@@ -26,6 +26,13 @@
 	}
 }
 
+// receiving reports whether a response is arriving.
+func (w *watcher) receiving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.call != nil && reception.Receiving(w.call)
+}
+
 // startCall records the context of the call in progress, which endCall clears.
 func (w *watcher) startCall(ctx context.Context) {
 	w.mu.Lock()
