--- a/cmd/router/gateway/large_table_test.go
+++ b/cmd/router/gateway/large_table_test.go
@@ -20,9 +20,9 @@
 	applyTimeout = 3 * time.Second
 )
 
-func largeTableRoutes() []platformtest.Route {
+func largeTableRoutes(n int) []platformtest.Route {
 	out := routes()
-	for i := range largeRoutes {
+	for i := range n {
 		out = append(out, platformtest.Route{
 			Prefix: name("/extra-", i) + "/", Kind: platformtest.Idempotent, Service: plainService, Attempts: 2, TimeoutMS: 2000,
 		})
@@ -30,8 +30,10 @@
 	return out
 }
 
-func publishLarge(store *platformtest.Store, version int) {
-	store.PutJSON("op", "config", platformtest.RoutingTable(version, []string{testKey}, largeTableRoutes()...))
+func publishLarge(store *platformtest.Store, version int) { publishRoutes(store, version, largeRoutes) }
+
+func publishRoutes(store *platformtest.Store, version, n int) {
+	store.PutJSON("op", "config", platformtest.RoutingTable(version, []string{testKey}, largeTableRoutes(n)...))
 }
 
 // TestLargeTableOverNarrowLink guards against a routing table that takes longer to
