gateway: a slow peer doesn't hold back a new routing table

Callers were served by an old routing table for longer than the platform's 3 s after the new one was acknowledged (CONFIG).

Cause: the loop that catches up asked one peer and waited for it, 1.5 s until the reply began, and up to 10 s more as long as a byte came now and then. Only then did it ask another one, or the store. Nine in ten routers don't follow the store, so they had no other way. Class: one source at a time, with a limit on each call but none on the whole.

Package delivery now decides whom to ask: another peer beside one whose reply hasn't begun after 250 ms or won't be complete within 1.5 s at its pace, three at once at most; the store after 0.5 s, unless a reply is on course; a peer that failed is asked last for 3 s, one that had nothing to give not for 0.3 s. The first of these holds with ten peers of which nine are frozen. A reply that arrives over a narrow link is still awaited, so the link carries it once.

--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -18,13 +18,8 @@
 	storeHeadStart = 250 * time.Millisecond
 	// catchUpJitter spreads the requests of routers that don't poll the store.
 	catchUpJitter = 60 * time.Millisecond
-	// catchUpRounds is how many peers are asked one after the other, and catchUpPause
-	// the mean time between two of them.
-	catchUpRounds = 8
-	catchUpPause  = 120 * time.Millisecond
-	// peerTableTime is how long peers have to deliver a routing table before it is read
-	// from the store, where it isn't compressed.
-	peerTableTime = 500 * time.Millisecond
+	// catchUpPause is the mean time between two calls one after the other.
+	catchUpPause = 120 * time.Millisecond
 	// largeTable is the size in bytes from which a routing table takes much of a narrow
 	// link.
 	largeTable = 48 << 10
@@ -95,49 +90,6 @@
 	}
 }
 
-// syncFromPeersAhead asks peers that are ahead until none of them is, and polls the
-// store for what they don't deliver.
-func (g *Gateway) syncFromPeersAhead(ctx context.Context) {
-	start := g.clock.Now()
-	var registryPolled, tablePolled bool
-	for range catchUpRounds {
-		ahead, found := g.peers.mostAhead(g.versions())
-		if !found || ctx.Err() != nil {
-			return
-		}
-		g.syncFromPeer(ctx, ahead.address, tablePolled)
-		current := g.versions()
-		if !current.behind(ahead) {
-			continue
-		}
-		if !registryPolled && current.registryBehind(ahead) {
-			g.watchers.registry.interrupt()
-			registryPolled = true
-		}
-		if !tablePolled && ahead.table > current.table && g.clock.Now().Sub(start) >= peerTableTime {
-			g.watchers.table.interrupt()
-			tablePolled = true
-		}
-		sleep(ctx, catchUpPause/2+rand.N(catchUpPause))
-	}
-}
-
-// syncFromPeer requests what a peer has beyond this router and applies it. A peer that
-// doesn't compress a large routing table sends it only if insist is set.
-func (g *Gateway) syncFromPeer(ctx context.Context, address netip.AddrPort, insist bool) {
-	current := g.versions()
-	g.tableLag.call()
-	start := g.clock.Now()
-	reply, err := g.callPeer(ctx, address, current, &peer.GetBeliefsRequest{Insist: insist})
-	if err != nil {
-		countTableTransfer(tableFromPeer, "failed", 0)
-		g.log.Warn("a peer did not tell what it knows", "peer", address.String(), "version", current.table,
-			"revision", current.registry, "after", g.clock.Now().Sub(start).String(), "error", err)
-		return
-	}
-	g.applyReply(reply, address, current)
-}
-
 // applyReply applies a peer's reply to a request that was sent with the versions. The
 // view ignores a registry that is older than the one that it has by now.
 func (g *Gateway) applyReply(reply *peer.GetBeliefsReply, address netip.AddrPort, current versions) {
@@ -169,6 +121,13 @@
 ) (*peer.GetBeliefsReply, error) {
 	ctx, cancel := reception.WithIdleTimeout(ctx, timeout, timeout)
 	defer cancel()
+	return g.getBeliefs(ctx, address, current, r)
+}
+
+// getBeliefs is callPeer within the limits of the context.
+func (g *Gateway) getBeliefs(
+	ctx context.Context, address netip.AddrPort, current versions, r *peer.GetBeliefsRequest,
+) (*peer.GetBeliefsReply, error) {
 	r.PlanVersion, r.RegistryDigest, r.ReadsCompressed = current.table, current.registryDigest, true
 	r.RegistryRevision, r.RegistryEpoch = current.registry.Number(), current.registry.Epoch()
 	r.From = &peer.RouterAddress{Name: g.cfg.Name, Address: g.cfg.PeerAddress}
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"vanillalug.example/cmd/router/channel"
 	"vanillalug.example/crew"
 	"vanillalug.example/defect"
+	"vanillalug.example/delivery"
 	"vanillalug.example/detour"
 	"vanillalug.example/edition"
 	"vanillalug.example/evacuation"
@@ -117,6 +118,8 @@
 	// that was logged as late, which only maintain uses.
 	tableLag  tableLag
 	loggedLag uint64
+	// deliveries has the peers that lately didn't deliver; only catchUp uses it.
+	deliveries *delivery.Record
 
 	table     atomic.Pointer[activeTable]
 	upstreams atomic.Pointer[upstreamSet]
@@ -179,6 +182,7 @@
 		cfg: cfg, clock: clock, log: log, store: store, peerClient: peerClient, dialTarget: channel.Dial,
 		catchUpSignal:    make(chan struct{}, 1),
 		tableSends:       rate.NewLimiter(tableSendRate, tableSendBurst),
+		deliveries:       delivery.NewRecord(),
 		starting:         make(chan struct{}),
 		registrationLost: make(chan struct{}, 1),
 		loads:            fitting.NewLoadTable(),
--- a/cmd/router/gateway/peers_ahead.go
+++ b/cmd/router/gateway/peers_ahead.go
@@ -3,41 +3,38 @@
 import (
 	"cmp"
 	"math/rand/v2"
+	"slices"
 )
 
-// mostAhead returns a peer that was heard of lately and has something newer. If there
-// are newer routing tables, it is any of those with the newest one, so that not everyone
-// asks the same; otherwise any of those with the newest registry.
-func (p *peers) mostAhead(current versions) (peerVersions, bool) {
+// peerAhead is a peer that has something newer than this router.
+type peerAhead struct {
+	name string
+	peerVersions
+}
+
+// ahead returns the peers that were heard of lately and have something newer, the best first: those
+// with the newest routing table, if it is newer, and then those with the newest registry. Those that
+// are alike are in random order, so that not everyone asks the same.
+func (p *peers) ahead(current versions) []peerAhead {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	since := p.clock.Now().Add(-p.ttl())
-	var best []peerVersions
+	var out []peerAhead
 	for name, reported := range p.versions {
-		if !current.behind(reported) || !p.known[name].lastSeen.After(since) {
-			continue
-		}
-		switch order := compareAhead(current, reported, best); {
-		case order > 0:
-			best = []peerVersions{reported}
-		case order == 0:
-			best = append(best, reported)
+		if current.behind(reported) && p.known[name].lastSeen.After(since) {
+			out = append(out, peerAhead{name: name, peerVersions: reported})
 		}
 	}
-	if len(best) == 0 {
-		return peerVersions{}, false
-	}
-	return best[rand.IntN(len(best))], true
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	slices.SortStableFunc(out, func(a, b peerAhead) int { return compareAhead(current, a.peerVersions, b.peerVersions) })
+	return out
 }
 
-// compareAhead compares what a peer has with the best ones so far; the registries count
-// only where no peer has a newer routing table.
-func compareAhead(current versions, reported peerVersions, best []peerVersions) int {
-	if len(best) == 0 {
-		return 1
-	}
-	if order := cmp.Compare(reported.table, best[0].table); order != 0 || reported.table > current.table {
+// compareAhead orders what peers have. The registries count only where neither has a newer routing
+// table.
+func compareAhead(current versions, a, b peerVersions) int {
+	if order := cmp.Compare(max(b.table, current.table), max(a.table, current.table)); order != 0 || a.table > current.table {
 		return order
 	}
-	return reported.registry.Compare(best[0].registry)
+	return b.registry.Compare(a.registry)
 }
--- a/reception/client.go
+++ b/reception/client.go
@@ -102,7 +102,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = newResponseBody(r.Context(), resp.Body)
+	resp.Body = newResponseBody(r.Context(), resp)
 	return resp, nil
 }
 
--- a/reception/idle_timeout.go
+++ b/reception/idle_timeout.go
@@ -29,9 +29,12 @@
 
 // idleTimer cancels a request whose response doesn't arrive.
 type idleTimer struct {
-	timer     *time.Timer
-	idle      time.Duration
-	receiving atomic.Bool
+	timer *time.Timer
+	idle  time.Duration
+	// began is when the body began to arrive; nil if it hasn't.
+	began    atomic.Pointer[time.Time]
+	received atomic.Int64
+	total    atomic.Int64
 }
 
 // WithIdleTimeout returns a context for one request of a Client. It is cancelled with an
@@ -44,7 +47,7 @@
 	t := &idleTimer{idle: idle}
 	t.timer = time.AfterFunc(first, func() {
 		after := first
-		if t.receiving.Load() {
+		if t.began.Load() != nil {
 			after = idle
 		}
 		cancel(&ResponseTimeoutError{after: after})
@@ -60,7 +63,29 @@
 // WithIdleTimeout has begun to arrive.
 func Receiving(ctx context.Context) bool {
 	t := idleTimerOf(ctx)
-	return t != nil && t.receiving.Load()
+	return t != nil && t.began.Load() != nil
+}
+
+// BodyProgress is how much of the body of a response has arrived.
+type BodyProgress struct {
+	// Received and Total are in bytes; a negative Total is unknown.
+	Received, Total int64
+	// Since is the time since the first byte arrived; 0 if none has.
+	Since time.Duration
+}
+
+// Progress returns how much of the response to a request with a context of WithIdleTimeout has
+// arrived.
+func Progress(ctx context.Context) BodyProgress {
+	t := idleTimerOf(ctx)
+	if t == nil {
+		return BodyProgress{}
+	}
+	out := BodyProgress{Received: t.received.Load(), Total: t.total.Load()}
+	if began := t.began.Load(); began != nil {
+		out.Since = time.Since(*began)
+	}
+	return out
 }
 
 func idleTimerOf(ctx context.Context) *idleTimer {
@@ -68,11 +93,22 @@
 	return t
 }
 
-// received restarts the timeout. A nil idleTimer does nothing.
-func (t *idleTimer) received() {
+// expect records the length of the body. A nil idleTimer does nothing.
+func (t *idleTimer) expect(total int64) {
+	if t != nil {
+		t.total.Store(total)
+	}
+}
+
+// receive records that n bytes arrived, and restarts the timeout. A nil idleTimer does nothing.
+func (t *idleTimer) receive(n int) {
 	if t == nil {
 		return
 	}
-	t.receiving.Store(true)
+	if t.began.Load() == nil {
+		now := time.Now()
+		t.began.Store(&now)
+	}
+	t.received.Add(int64(n))
 	t.timer.Reset(t.idle)
 }
--- a/reception/response_body.go
+++ b/reception/response_body.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 )
 
 // IncompleteBodyError says that reading the body of a response failed.
@@ -32,15 +33,17 @@
 	received int64
 }
 
-func newResponseBody(ctx context.Context, body io.ReadCloser) *responseBody {
-	return &responseBody{ReadCloser: body, ctx: ctx, idle: idleTimerOf(ctx)}
+func newResponseBody(ctx context.Context, resp *http.Response) *responseBody {
+	idle := idleTimerOf(ctx)
+	idle.expect(resp.ContentLength)
+	return &responseBody{ReadCloser: resp.Body, ctx: ctx, idle: idle}
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.received += int64(n)
 	if n > 0 {
-		b.idle.received()
+		b.idle.receive(n)
 	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
