office: a slow peer doesn't hold back a new fleet document

The same cause as on the platform's path, at our own interface: the router that hears of a new fleet document asked the peer that has it, and the object store only when that call had failed: after 2 s for a peer that doesn't reply, after 12 s for one that sends a byte now and then.

The object store is now asked too when the peer has not delivered after 0.5 s and its reply isn't arriving in time, by the same measure as for routing tables.

Looked at as well: the seeds of a router that starts. Their calls wait for each other, but the datagrams of the sound seed bring the table meanwhile: TestSlowSeedDoesNotDelayStart passed without a change.

--- a/cmd/router/gateway/slow_peer_test.go
+++ b/cmd/router/gateway/slow_peer_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"vanillalug.example/platform/platformtest"
 )
 
 // slowPeerPause is the time between two bytes of a slow peer's reply.
@@ -83,7 +85,7 @@
 		publishLarge(tr.store, 2)
 		require.Eventually(t, func() bool { return sound.tableVersion() == 2 }, waitTimeout, pollInterval)
 		ahead = append(ahead, netip.MustParseAddrPort(sound.g.cfg.PeerAddress))
-		tr.store.SetFault("busy")
+		tr.store.SetFault(platformtest.Unavailable)
 	} else {
 		publishLarge(tr.store, 2)
 	}
@@ -97,3 +99,19 @@
 	t.Cleanup(tr.g.clock.Every(shareInterval, hear))
 	require.Eventually(t, func() bool { return tr.tableVersion() == 2 }, applyTimeout, pollInterval)
 }
+
+// TestSlowSeedDoesNotDelayStart guards against a router that the store rejects and that isn't ready
+// although a sound seed has replied, as it waits for the reply of another one.
+func TestSlowSeedDoesNotDelayStart(t *testing.T) {
+	for name, frozen := range map[string]bool{"slow": false, "frozen": true} {
+		t.Run(name, func(t *testing.T) {
+			sound := newTestRouter(t)
+			sound.addTargets(plainService, "p1")
+			sound.waitReady(1)
+			unavailable := platformtest.NewStore()
+			unavailable.SetFault(platformtest.Unavailable)
+			tr := newTestRouterAt(t, unavailable, "b", slowPeer(t, frozen), netip.MustParseAddrPort(sound.g.cfg.PeerAddress))
+			require.Eventually(t, tr.g.Ready, applyTimeout, pollInterval)
+		})
+	}
+}
--- a/cmd/router/gateway/table_lag_test.go
+++ b/cmd/router/gateway/table_lag_test.go
@@ -42,6 +42,8 @@
 	tr := newTestRouter(t)
 	tr.waitReady(0)
 	tr.g.tableLag.hear(7, 1, tr.g.clock.Now().Add(-2*maxTableLag))
-	late := func() bool { return strings.Contains(tr.logs.String(), "a newer routing table is known but not in force") }
+	late := func() bool {
+		return strings.Contains(tr.logs.String(), "a newer routing table is known but not in force")
+	}
 	require.Eventually(t, late, waitTimeout, pollInterval)
 }
--- a/cmd/router/office/configuration.go
+++ b/cmd/router/office/configuration.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/delivery"
 	"vanillalug.example/depot"
 	"vanillalug.example/peer"
 	"vanillalug.example/reception"
@@ -17,6 +18,9 @@
 // arriving: a large document takes longer over a narrow link.
 const fetchTimeout = 2 * time.Second
 
+// peerDocumentTime is how long a peer has to deliver a document before the object store is asked too.
+const peerDocumentTime = 500 * time.Millisecond
+
 // ReadHead reads the head of the fleet document from the platform's table.
 func (r *Router) ReadHead(time.Time) {
 	ctx, done := detachedContext(fetchTimeout)
@@ -64,25 +68,58 @@
 	r.PollTargets(r.clock.Now())
 }
 
-// fetchDocument fetches a document from the peer that has it or, if that fails,
-// from the object store.
+// fetchDocument fetches a document from the peer that has it, and from the object store if the peer
+// fails or takes long.
 func (r *Router) fetchDocument(e register.Fetch) {
-	if e.Peer != "" && r.fetchFromPeer(context.Background(), e.Peer, e.Head) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	call, done := reception.WithIdleTimeout(ctx, fetchTimeout, fetchTimeout)
+	defer done()
+	fromPeer := make(chan bool, 1)
+	go func() { fromPeer <- e.Peer != "" && r.fetchFromPeer(call, e.Peer, e.Head) }()
+	if r.peerDelivers(call, fromPeer) {
 		return
 	}
-	if e.Head.Digest() == "" {
-		r.applyRegister(r.register.Handle(register.FetchFailed{Head: e.Head}))
+	if e.Head.Digest() != "" && r.fetchFromStore(ctx, e.Head) || <-fromPeer {
 		return
 	}
-	ctx, done := reception.WithIdleTimeout(context.Background(), fetchTimeout, fetchTimeout)
+	r.applyRegister(r.register.Handle(register.FetchFailed{Head: e.Head}))
+}
+
+// peerDelivers waits for the result of a call to a peer, for peerDocumentTime and then as long as the
+// reply arrives in time. A result that it received and that is false is put back.
+func (r *Router) peerDelivers(call context.Context, result chan bool) bool {
+	start := r.clock.Now()
+	t := time.NewTimer(peerDocumentTime)
+	defer t.Stop()
+	for {
+		select {
+		case delivered := <-result:
+			if !delivered {
+				result <- false
+			}
+			return delivered
+		case <-t.C:
+		}
+		p := reception.Progress(call)
+		if !delivery.OnCourse(r.clock.Now().Sub(start), delivery.Progress{Received: p.Received, Total: p.Total, For: p.Since}) {
+			return false
+		}
+		t.Reset(peerDocumentTime / 4)
+	}
+}
+
+// fetchFromStore fetches a document from the object store. It reports whether the store had it.
+func (r *Router) fetchFromStore(ctx context.Context, head register.Head) bool {
+	ctx, done := reception.WithIdleTimeout(ctx, fetchTimeout, fetchTimeout)
 	defer done()
-	text, err := r.objects.GetObject(ctx, register.DocumentKey(e.Head.Digest()))
+	text, err := r.objects.GetObject(ctx, register.DocumentKey(head.Digest()))
 	if err != nil {
 		meter.Add("document_fetch_failures", 1)
-		r.applyRegister(r.register.Handle(register.FetchFailed{Head: e.Head}))
-		return
+		return false
 	}
-	r.applyRegister(r.register.Handle(register.Fetched{Head: e.Head, Text: text}))
+	r.applyRegister(r.register.Handle(register.Fetched{Head: head, Text: text}))
+	return true
 }
 
 func (r *Router) fetchFromPeer(ctx context.Context, name string, want register.Head) bool {
@@ -90,8 +127,6 @@
 	if !ok {
 		return false
 	}
-	ctx, done := reception.WithIdleTimeout(ctx, fetchTimeout, fetchTimeout)
-	defer done()
 	w, err := r.peers.Document(ctx, m.Address())
 	if err != nil || w.GetHead().GetVersion() < want.Version() {
 		return false
@@ -104,6 +139,8 @@
 // syncFromPeer fetches the document from a peer that has a newer version.
 func (r *Router) syncFromPeer(ctx context.Context, name string) {
 	meter.Add("catch_ups", 1)
+	ctx, done := reception.WithIdleTimeout(ctx, fetchTimeout, fetchTimeout)
+	defer done()
 	r.fetchFromPeer(ctx, name, r.register.Head())
 }
 
--- a/delivery/search.go
+++ b/delivery/search.go
@@ -94,16 +94,16 @@
 // anyOnCourse reports whether a reply is expected to arrive in time.
 func (s *Search) anyOnCourse(now time.Time, progress func(peer string) Progress) bool {
 	for peer, began := range s.calls {
-		if onCourse(now.Sub(began), progress(peer)) {
+		if OnCourse(now.Sub(began), progress(peer)) {
 			return true
 		}
 	}
 	return false
 }
 
-// onCourse reports whether a reply to a call that began some time ago will arrive in time if it goes
+// OnCourse reports whether a reply to a call that began some time ago will arrive in time if it goes
 // on arriving as it did.
-func onCourse(elapsed time.Duration, p Progress) bool {
+func OnCourse(elapsed time.Duration, p Progress) bool {
 	if p.Received <= 0 {
 		return elapsed < silenceTime
 	}
