--- a/cmd/router/gateway/table_transfer.go
+++ b/cmd/router/gateway/table_transfer.go
@@ -8,6 +8,7 @@
 	"golang.org/x/time/rate"
 
 	"vanillalug.example/peer"
+	"vanillalug.example/platform"
 	"vanillalug.example/reception"
 )
 
@@ -17,8 +18,6 @@
 	tableSendRate rate.Limit = 512 << 10
 	// tableSendBurst is how many bytes it sends at once.
 	tableSendBurst = 256 << 10
-	// maxTableSize bounds the text of a routing table from a peer, in bytes.
-	maxTableSize = 16 << 20
 )
 
 // addTable adds the active routing table to the reply to a caller that has an older one.
@@ -102,7 +101,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("decompress: %w", err)
 	}
-	raw, err := reception.ReadBody(r, maxTableSize)
+	raw, err := reception.ReadBody(r, platform.MaxRoutingTable)
 	if err != nil {
 		return nil, fmt.Errorf("decompress: %w", err)
 	}
