rota: routers on wide links follow the store first

The store sends a routing table whole and doesn't compress it: 1.13 MB of 4,200 routes, 0.9 s of a link of 10 Mbit/s. The followers were the first in hash order, so nearly all of them had such a link where 107 of 113 routers do; all others waited for them, and their callers shared the link with the table.

A router now states the bandwidth of its link (link-mbps in its settings, a field of the datagram), and those with 100 Mbit/s or more follow first, in hash order among each other. Where all links are alike, or unknown as those of a build before this one, the order is the same as before; the number of followers doesn't change. TestWideLinksFollowFirst.

--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -50,7 +50,7 @@
 	client := reception.NewClient("store",
 		reception.WithConnectTimeout(storeConnectTimeout), reception.WithKeepAlive(storeKeepAlive, storeKeepAlive))
 	g := gateway.New(gateway.Config{
-		Name: cfg.Name(), Place: cfg.Place(), PeerAddress: cfg.Peers(), Seeds: cfg.Seeds(),
+		Name: cfg.Name(), Place: cfg.Place(), PeerAddress: cfg.Peers(), Seeds: cfg.Seeds(), LinkMbps: cfg.LinkMbps(),
 		RetryRatio: cfg.RetryRatio(), RetryExtra: cfg.RetryExtra(), RetryWindow: cfg.RetryWindow(),
 	}, clock, log, platform.NewStore(client, cfg.Store()),
 		reception.NewClient("peers", reception.WithConnectTimeout(peerConnectTimeout), reception.WithIdleConnTimeout(peerIdleConnTimeout)))
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -39,6 +39,8 @@
 	// PeerAddress is the address and port on which this router listens for its
 	// peers, over TCP and UDP.
 	PeerAddress string
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s; 0 if it is unknown.
+	LinkMbps int
 	// Seeds are addresses of other routers; some may be out of date.
 	Seeds []netip.AddrPort
 	// RetryRatio is the retry budget as a fraction of a service's requests.
--- a/cmd/router/gateway/narrow_fleet_test.go
+++ b/cmd/router/gateway/narrow_fleet_test.go
@@ -151,7 +151,7 @@
 	count := 0
 	for i, p := range peers {
 		others := append(append([]rota.Peer(nil), peers[:i]...), peers[i+1:]...)
-		if rota.FollowsStore(p.Name, others, 0) {
+		if rota.FollowsStore(p, others, 0) {
 			count++
 		}
 	}
--- a/cmd/router/gateway/peers.go
+++ b/cmd/router/gateway/peers.go
@@ -66,6 +66,8 @@
 	issuesPermits bool
 	// place is its failure domain; "" if it hasn't said.
 	place string
+	// linkMbps is the bandwidth of its link in Mbit/s; 0 if it hasn't said.
+	linkMbps int
 	// unreachable are the services whose targets it doesn't reach.
 	unreachable []string
 }
@@ -84,6 +86,8 @@
 	// doesn't reach.
 	place       string
 	unreachable []string
+	// linkMbps is the bandwidth of the peer's link in Mbit/s.
+	linkMbps int
 }
 
 // pendingPlacement is a placement that is still being sent to peers.
@@ -117,7 +121,7 @@
 	p.known[name] = &peerRouter{
 		address: reported.address, lastSeen: p.clock.Now(),
 		following: reported.following, issuesPermits: reported.issuesPermits, place: reported.place,
-		unreachable: reported.unreachable,
+		unreachable: reported.unreachable, linkMbps: reported.linkMbps,
 	}
 	p.versions[name] = reported
 }
@@ -168,7 +172,7 @@
 	var out []rota.Peer
 	for name, r := range p.known {
 		if r.lastSeen.After(since) {
-			out = append(out, rota.Peer{Name: name, Following: r.following})
+			out = append(out, rota.Peer{Name: name, Following: r.following, LinkMbps: r.linkMbps})
 		}
 	}
 	return out
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -58,8 +58,8 @@
 		From: g.cfg.Name, Place: g.cfg.Place, PlanVersion: current.table, RegistryDigest: current.registryDigest,
 		RegistryRevision: current.registry.Number(), RegistryEpoch: current.registry.Epoch(),
 		Following: g.watchers.registry.fresh(), IssuesPermits: !g.draining.Load(),
-		Unreachable: g.detours.UnreachableServices(),
-		Loads:       make([]*peer.TargetLoad, 0, len(own)),
+		Unreachable: g.detours.UnreachableServices(), LinkMbps: uint32(max(g.cfg.LinkMbps, 0)),
+		Loads: make([]*peer.TargetLoad, 0, len(own)),
 	}
 	for key, l := range own {
 		out.Loads = append(out.Loads, &peer.TargetLoad{
@@ -129,7 +129,7 @@
 	reported := peerVersions{
 		address: from, table: s.PlanVersion, registryDigest: s.RegistryDigest, following: s.Following,
 		registry:      vanillalug.NewStoreRevision(s.RegistryEpoch, s.RegistryRevision),
-		issuesPermits: s.IssuesPermits, place: s.Place, unreachable: s.Unreachable,
+		issuesPermits: s.IssuesPermits, place: s.Place, unreachable: s.Unreachable, linkMbps: int(s.LinkMbps),
 	}
 	g.peers.update(s.From, reported)
 	current := g.versions()
--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -108,7 +108,8 @@
 // followsStore reports whether this router polls the store itself.
 func (g *Gateway) followsStore() bool {
 	alive := g.peers.alive()
-	return rota.FollowsStore(g.cfg.Name, alive, g.peers.followerShortage(rota.TooFewFollowers(alive)))
+	self := rota.Peer{Name: g.cfg.Name, LinkMbps: g.cfg.LinkMbps}
+	return rota.FollowsStore(self, alive, g.peers.followerShortage(rota.TooFewFollowers(alive)))
 }
 
 // advance records that all changes up to a revision were received from a peer, or the
--- a/cmd/router/settings/deployment.go
+++ b/cmd/router/settings/deployment.go
@@ -18,6 +18,7 @@
 	defaultGracePeriod = 8 * time.Second
 	defaultMemoryMB    = 206
 	maxMemoryMB        = 1 << 20
+	maxLinkMbps        = 1e6
 )
 
 // Deployment are the settings of one router on the users' platform.
@@ -36,6 +37,7 @@
 	retryWindow time.Duration
 	gracePeriod time.Duration
 	memoryMB    int
+	linkMbps    int
 	intake      Intake
 	// maxConns are the set limits of connections by listener; 0 is derived.
 	entryConns, readyConns, peerConns, metricsConns int
@@ -63,6 +65,7 @@
 	d.place = router.Required("place")
 	d.logLevel = router.Choice("log-level", "info", "trace", "debug", "info", "warn", "error")
 	d.memoryMB = router.Int("memory-mb", defaultMemoryMB, 1, maxMemoryMB)
+	d.linkMbps = int(router.Float("link-mbps", 0, 0, maxLinkMbps))
 	listen := in.Single("listen")
 	d.entry = listen.Address("entry")
 	d.ready = listen.Address("ready")
@@ -124,6 +127,9 @@
 // Name returns the unique name of the VM.
 func (d *Deployment) Name() string { return d.name }
 
+// LinkMbps returns the bandwidth of the VM's link in Mbit/s; 0 if it is unknown.
+func (d *Deployment) LinkMbps() int { return d.linkMbps }
+
 // Place returns the failure domain.
 func (d *Deployment) Place() string { return d.place }
 
--- a/rota/rota.go
+++ b/rota/rota.go
@@ -18,6 +18,9 @@
 	takeoverInterval = 2 * time.Second
 	// maxTakeovers bounds how often the number of followers is doubled.
 	maxTakeovers = 16
+	// wideLink is the bandwidth in Mbit/s from which a link carries a large table in a tenth of a
+	// second.
+	wideLink = 100
 	// baseFollowers is the part of the number of followers that doesn't depend
 	// on the number of routers.
 	baseFollowers = 2
@@ -26,21 +29,38 @@
 // Peer is another router from which a message was received recently.
 type Peer struct {
 	Name string
+	// LinkMbps is the bandwidth of its link in Mbit/s; 0 is unknown.
+	LinkMbps int
 	// Following reports that the peer recently received a response from the
 	// store.
 	Following bool
 }
 
-// FollowsStore reports whether the router follows the store itself. The first
-// routers in hash order do, more of them in larger fleets. shortage is how long
-// TooFewFollowers has been true: the store may reject just those routers, so others join
-// them, or it is out, so they join one after the other.
-func FollowsStore(self string, peers []Peer, shortage time.Duration) bool {
-	names := hashOrder(self, peers)
+// FollowsStore reports whether the router follows the store itself. Those with wide links do first, as
+// the others get the difference from them, and otherwise the first in hash order, more of them in larger
+// fleets. shortage is how long TooFewFollowers has been true: the store may reject just those routers, so
+// others join them, or it is out, so they join one after the other.
+func FollowsStore(self Peer, peers []Peer, shortage time.Duration) bool {
+	wide := map[string]bool{self.Name: self.wide()}
+	for _, p := range peers {
+		wide[p.Name] = p.wide()
+	}
+	names := hashOrder(self.Name, peers)
+	slices.SortStableFunc(names, func(a, b string) int {
+		switch {
+		case wide[a] == wide[b]:
+			return 0
+		case wide[a]:
+			return -1
+		}
+		return 1
+	})
 	doublings := min(shortage/takeoverInterval, maxTakeovers)
-	return slices.Index(names, self) < followerCount(len(names))<<doublings
+	return slices.Index(names, self.Name) < followerCount(len(names))<<doublings
 }
 
+func (p Peer) wide() bool { return p.LinkMbps >= wideLink }
+
 // TooFewFollowers reports whether too few peers get responses from the store to rely on
 // them.
 func TooFewFollowers(peers []Peer) bool {
--- a/rota/rota_test.go
+++ b/rota/rota_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -39,7 +40,7 @@
 		count := 0
 		always := func(name string) bool { return true }
 		for _, self := range all {
-			if FollowsStore(self, peersOf(all, self, always), 0) {
+			if FollowsStore(Peer{Name: self}, peersOf(all, self, always), 0) {
 				count++
 			}
 		}
@@ -68,10 +69,10 @@
 			routers := len(received) + 1
 			doublings := bits.Len(uint((routers - 1) / followerCount(routers)))
 			if TooFewFollowers(received) {
-				require.True(t, FollowsStore(self, received, time.Duration(doublings)*takeoverInterval))
+				require.True(t, FollowsStore(Peer{Name: self}, received, time.Duration(doublings)*takeoverInterval))
 			}
 			if self == FirstRouter(self, received) {
-				require.True(t, FollowsStore(self, received, 0))
+				require.True(t, FollowsStore(Peer{Name: self}, received, 0))
 			}
 		}
 	})
@@ -87,10 +88,48 @@
 		for _, self := range all {
 			peers := peersOf(all, self, never)
 			require.True(t, TooFewFollowers(peers))
-			if FollowsStore(self, peers, time.Duration(step)*takeoverInterval) {
+			if FollowsStore(Peer{Name: self}, peers, time.Duration(step)*takeoverInterval) {
 				count++
 			}
 		}
 		require.Equal(t, want, count, step)
 	}
 }
+
+// TestWideLinksFollowFirst guards against a large table that is read over narrow links while others are
+// wide, and against fewer followers where only some links are.
+func TestWideLinksFollowFirst(t *testing.T) {
+	tests := map[string]struct {
+		wide, followers, wideFollowers int
+	}{
+		"none":     {0, 9, 0},
+		"some":     {6, 9, 6},
+		"all":      {113, 9, 9},
+		"one of 3": {38, 9, 9},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			var all []Peer
+			for i, n := range names(113) {
+				p := Peer{Name: n, Following: true, LinkMbps: 10}
+				if i < tt.wide {
+					p.LinkMbps = 200
+				}
+				all = append(all, p)
+			}
+			followers, wide := 0, 0
+			for i, self := range all {
+				others := slices.Delete(slices.Clone(all), i, i+1)
+				if !FollowsStore(self, others, 0) {
+					continue
+				}
+				followers++
+				if self.wide() {
+					wide++
+				}
+			}
+			require.Equal(t, tt.followers, followers)
+			require.Equal(t, tt.wideFollowers, wide)
+		})
+	}
+}
