office: the response to a non-idempotent call is whole, however long it is

Callers of our own interface got a success without its body when a booking or a posting was answered with more than 64 KiB.

Cause: the outcome that is recorded leaves out a body of more than 64 KiB, and the response to the caller was made from the outcome. TestLongOutcomeIsWhole: 0 of 100,000 bytes before, all of 900,000 now.

--- a/cmd/router/office/non_idempotent_call.go
+++ b/cmd/router/office/non_idempotent_call.go
@@ -57,6 +57,8 @@
 	call     Call
 	target   vanillalug.Target
 	protocol *ledger.Call
+	// received is the response of the target if it came to this call.
+	received Response
 }
 
 func (n *nonIdempotentCall) run(ctx context.Context) (Response, *vanillalug.Problem) {
@@ -114,6 +116,7 @@
 		return ledger.ResponseLost{}
 	}
 	meter.Count("dispatches", "result", "answered")
+	n.received = a
 	return ledger.ResponseReceived{Outcome: ledger.NewOutcome(a.Status, a.Header, a.Body)}
 }
 
@@ -151,7 +154,7 @@
 func (n *nonIdempotentCall) response(v ledger.Result) (Response, *vanillalug.Problem) {
 	switch v := v.(type) {
 	case ledger.Ran:
-		return ranResponse(v)
+		return n.ranResponse(v)
 	case ledger.NotRun:
 		return Response{}, n.notRun(v)
 	case ledger.MayHaveRun:
@@ -173,8 +176,13 @@
 	return vanillalug.NewProblem(http.StatusServiceUnavailable, string(v.Cause), "the call was not run", opts...)
 }
 
-func ranResponse(v ledger.Ran) (Response, *vanillalug.Problem) {
+// ranResponse returns the response of a call that ran. A body that is too long to be recorded is that
+// which this call received.
+func (n *nonIdempotentCall) ranResponse(v ledger.Ran) (Response, *vanillalug.Problem) {
 	out := v.Outcome
+	if out.BodyOmitted() && !v.Replayed {
+		return n.received, nil
+	}
 	if out.Status() == 0 || out.BodyOmitted() && v.Replayed {
 		return Response{}, vanillalug.NewProblem(http.StatusConflict, "outcome-not-kept",
 			"the call was run; its answer is not kept", vanillalug.WithRunState(vanillalug.RunDone))
