Responses without end: what is kept of them is bounded on both interfaces

Another operator's report: a faulty worker sends bytes that are no answer, without end, and the machine that called it runs out of memory.

Causes: the head of a target's response could have 256 KiB, which need many times that as a map, and nothing was charged for it. The response of a service was read whole, up to 8 MiB for each caller, before it was charged.

A head and the interim ones before it have 64 KiB now, and what an unfinished one needs is charged to the caller that waits. Bodies of services are charged as they arrive. When there is no room the body is left out: the call has run, so its outcome is recorded and the caller's connection is closed, as before. Long events of chats are charged as well. Reports of targets have 64 KiB in place of 32 MiB, lists of cached chats 4 MiB; replies of peers are bounded, which they weren't.

--- a/cmd/demo/crowd/router_test.go
+++ b/cmd/demo/crowd/router_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -67,6 +68,11 @@
 	}
 	store.PutJSON("op", "config", platformtest.RoutingTable(1, []string{apiKey},
 		platformtest.Route{Prefix: "/once/", Kind: platformtest.NonIdempotent, Service: service, Attempts: 1, TimeoutMS: 15_000}))
+	return startPlatformAt(t, store)
+}
+
+// startPlatformAt starts a router that reads from a store.
+func startPlatformAt(t *testing.T, store *platformtest.Store) *router {
 	addresses := map[string]string{}
 	text := fmt.Sprintf("[router]\nname = r1\nplace = a\nmemory-mb = %d\n[store]\naddress = %s\n[listen]\n", memoryMB, store.Address())
 	for _, name := range []string{"entry", "ready", "peers", "metrics"} {
@@ -143,8 +149,15 @@
 	}
 }
 
+// loopbackAddresses counts the addresses that freeAddress has returned.
+var loopbackAddresses atomic.Uint32
+
+// freeAddress returns a free port of a loopback address that nothing else uses: on 127.0.0.1 the port
+// could be that of a caller's connection by the time the router listens.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	n := loopbackAddresses.Add(1)
+	ip := netip.AddrFrom4([4]byte{127, 2, byte(n >> 8), byte(n)})
+	l, err := net.Listen("tcp4", netip.AddrPortFrom(ip, 0).String())
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
--- a/cmd/router/channel/conn.go
+++ b/cmd/router/channel/conn.go
@@ -14,8 +14,8 @@
 	readBufferSize = 4 << 10
 	// maxInterim is the number of 1xx responses read before the final one.
 	maxInterim = 4
-	// maxHeadBytes bounds what is read of heads of responses.
-	maxHeadBytes = 256 << 10
+	// maxHeadBytes bounds what is read of the head of a response and the interim ones before it.
+	maxHeadBytes = 64 << 10
 )
 
 // Conn is a pooled connection to one incarnation of a target.
@@ -38,10 +38,11 @@
 func (c *Conn) IdleTime() time.Duration { return c.idleTime }
 
 // ReadResponse reads the head of the next response and skips up to maxInterim
-// interim ones. Its body is read from the connection. It returns a *HeadTooLargeError if
-// the heads don't end.
-func (c *Conn) ReadResponse(method string) (*http.Response, error) {
-	c.limit.set(maxHeadBytes)
+// interim ones. Its body is read from the connection. What the heads need is charged with hold, which
+// may be nil. It returns a *HeadTooLargeError if the heads don't end, and a *NoRoomError if there is no
+// memory for them.
+func (c *Conn) ReadResponse(method string, hold HoldFunc) (*http.Response, error) {
+	c.limit.set(maxHeadBytes, hold)
 	defer c.limit.lift()
 	for range maxInterim {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
--- a/cmd/router/channel/read_limit.go
+++ b/cmd/router/channel/read_limit.go
@@ -13,16 +13,30 @@
 	return fmt.Sprintf("the response has no end of its head within %d bytes", e.limit)
 }
 
+// NoRoomError says that there is no memory for the head of a response.
+type NoRoomError struct{}
+
+// Error implements error.
+func (*NoRoomError) Error() string { return "no memory for the head of a response" }
+
+// HoldFunc charges the memory that the given number of bytes of an unfinished head need in all. It
+// returns false if there is none.
+type HoldFunc func(bytes int) bool
+
+// freeHeadBytes is how much of a head isn't charged; usual ones fit.
+const freeHeadBytes = 4 << 10
+
 // readLimit is a reader with a limit that can be set and lifted.
 type readLimit struct {
 	in    io.Reader
 	limit int // 0 is no limit
 	left  int
+	hold  HoldFunc // nil if nothing is charged
 }
 
-func (r *readLimit) set(limit int) { r.limit, r.left = limit, limit }
+func (r *readLimit) set(limit int, hold HoldFunc) { r.limit, r.left, r.hold = limit, limit, hold }
 
-func (r *readLimit) lift() { r.limit = 0 }
+func (r *readLimit) lift() { r.limit, r.hold = 0, nil }
 
 func (r *readLimit) Read(p []byte) (int, error) {
 	if r.limit == 0 {
@@ -33,5 +47,8 @@
 	}
 	n, err := r.in.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if read := r.limit - r.left; r.hold != nil && read > freeHeadBytes && !r.hold(read) {
+		return 0, &NoRoomError{}
+	}
 	return n, err
 }
--- a/cmd/router/courier/event_reader.go
+++ b/cmd/router/courier/event_reader.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"strconv"
+
+	"vanillalug.example/reception"
 )
 
 // maxEventBytes limits one event of a stream.
@@ -21,23 +24,52 @@
 	request string
 	offset  int
 	line    []byte
+	// hold charges what an incomplete event needs beyond freeEventBytes.
+	hold *reception.Hold
 }
 
 // NewEventReader returns a reader. Events without an id get the request, and
 // the first of them the offset.
 func NewEventReader(r io.Reader, request string, offset int) *EventReader {
-	return &EventReader{r: bufio.NewReaderSize(r, readBufferBytes), request: request, offset: offset}
+	return &EventReader{
+		r: bufio.NewReaderSize(r, readBufferBytes), request: request, offset: offset,
+		hold: reception.NewHold(context.Background()),
+	}
 }
 
 const readBufferBytes = 512
 
+const (
+	// freeEventBytes is how much of an event isn't charged; those with a token are much shorter.
+	freeEventBytes = 16 << 10
+	// growthFactor is how much longer than its content a buffer may be.
+	growthFactor = 2
+)
+
+// cover charges a line and the data of an event that isn't complete.
+func (e *EventReader) cover(data int) error {
+	size := growthFactor * (cap(e.line) + data)
+	if size > freeEventBytes && !e.hold.Cover(size) {
+		return &reception.NoRoomError{}
+	}
+	return nil
+}
+
+// release gives back what was charged for an event that is complete, with the buffer of a long line.
+func (e *EventReader) release() {
+	if cap(e.line) > freeEventBytes {
+		e.line = nil
+	}
+	e.hold.Shrink(0)
+}
+
 // Next returns the next event that has data. It returns io.EOF at the end; a
 // truncated event is dropped.
 func (e *EventReader) Next() (Event, error) {
 	ev := Event{Request: e.request, Offset: e.offset}
 	hasData := false
 	for {
-		line, err := e.readLine()
+		line, err := e.readLine(len(ev.Data))
 		if err != nil {
 			return Event{}, err
 		}
@@ -47,6 +79,7 @@
 				e.offset = ev.Offset + 1
 			}
 			ev.End = bytes.Equal(ev.Data, doneData)
+			e.release()
 			return ev, nil
 		case bytes.HasPrefix(line, []byte("data:")):
 			ev.Data = appendData(ev.Data, line, hasData)
@@ -62,6 +95,9 @@
 		if len(ev.Data) > maxEventBytes {
 			return Event{}, &TooLargeError{limit: maxEventBytes}
 		}
+		if err := e.cover(len(ev.Data)); err != nil {
+			return Event{}, err
+		}
 	}
 }
 
@@ -76,8 +112,8 @@
 }
 
 // readLine returns a line without its line ending. The bytes are valid until
-// the next call.
-func (e *EventReader) readLine() ([]byte, error) {
+// the next call. The event has that much data already.
+func (e *EventReader) readLine(data int) ([]byte, error) {
 	e.line = e.line[:0]
 	for {
 		part, err := e.r.ReadSlice('\n')
@@ -93,6 +129,9 @@
 		case len(e.line) > maxEventBytes:
 			return nil, &TooLargeError{limit: maxEventBytes}
 		}
+		if err := e.cover(data); err != nil {
+			return nil, err
+		}
 	}
 }
 
--- a/cmd/router/courier/http_engine.go
+++ b/cmd/router/courier/http_engine.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	requestIDHeader   = "X-Request-Id"
-	priorityHeader    = "X-Priority"
-	maxReportBytes    = 32 << 20
+	requestIDHeader = "X-Request-Id"
+	priorityHeader  = "X-Priority"
+	// maxReportBytes bounds a report, and maxCacheBytes a list of cached chats or of changes to it.
+	maxReportBytes    = 64 << 10
+	maxCacheBytes     = 4 << 20
 	maxErrorBodyBytes = 256
 )
 
@@ -92,7 +94,7 @@
 		defer cancel()
 		return nil, readStatusError(w)
 	}
-	return newHTTPStream(w.Body, cancel, timeout, e.idleTimeout).limitEventGap(e.firstTimeout).events(request, offset), nil
+	return newHTTPStream(w.Body, cancel, timeout, e.idleTimeout).limitEventGap(e.firstTimeout).chargeTo(r.Context()).events(request, offset), nil
 }
 
 type reportBody struct {
@@ -106,7 +108,7 @@
 // Report implements Engine.
 func (e *HTTPEngine) Report(ctx context.Context, address string) (Report, error) {
 	var b reportBody
-	if err := getJSON(ctx, e.reports, "http://"+address+"/report", &b); err != nil {
+	if err := getJSON(ctx, e.reports, "http://"+address+"/report", maxReportBytes, &b); err != nil {
 		return Report{}, fmt.Errorf("HTTPEngine.Report: %w", err)
 	}
 	return Report{
@@ -131,7 +133,7 @@
 func (e *HTTPEngine) CacheEvents(ctx context.Context, address string, after uint64) (CacheEvents, error) {
 	var b cacheEventsBody
 	url := fmt.Sprintf("http://%s/cache/events?after=%d", address, after)
-	if err := getJSON(ctx, e.events, url, &b); err != nil {
+	if err := getJSON(ctx, e.events, url, maxCacheBytes, &b); err != nil {
 		return CacheEvents{}, fmt.Errorf("HTTPEngine.CacheEvents: %w", err)
 	}
 	out := CacheEvents{First: b.First}
@@ -150,7 +152,7 @@
 // CachedChats implements Engine.
 func (e *HTTPEngine) CachedChats(ctx context.Context, address string) (CachedChats, error) {
 	var b cachedChatsBody
-	if err := getJSON(ctx, e.events, "http://"+address+"/cache", &b); err != nil {
+	if err := getJSON(ctx, e.events, "http://"+address+"/cache", maxCacheBytes, &b); err != nil {
 		return CachedChats{}, fmt.Errorf("HTTPEngine.CachedChats: %w", err)
 	}
 	out := CachedChats{Last: b.Last, Chats: make([]vanillalug.ChatKey, 0, len(b.Chats))}
@@ -187,7 +189,7 @@
 	return &StatusError{status: w.StatusCode, body: string(bytes.TrimSpace(raw))}
 }
 
-func getJSON(ctx context.Context, c *reception.Client, url string, out any) error {
+func getJSON(ctx context.Context, c *reception.Client, url string, limit int, out any) error {
 	r, cancel, err := newRequest(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
@@ -204,5 +206,9 @@
 		return readStatusError(w)
 	}
 	defer func() { _ = w.Body.Close() }()
-	return json.NewDecoder(io.LimitReader(w.Body, maxReportBytes)).Decode(out)
+	raw, err := reception.ReadBody(w.Body, limit)
+	if err != nil {
+		return fmt.Errorf("getJSON: %s: %w", url, err)
+	}
+	return json.Unmarshal(raw, out)
 }
--- a/cmd/router/courier/http_stream.go
+++ b/cmd/router/courier/http_stream.go
@@ -6,6 +6,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"vanillalug.example/reception"
 )
 
 // httpStream is a Stream over an HTTP response. A timer cancels the request
@@ -24,12 +26,14 @@
 	eventTimer   *time.Timer
 	// expired is the timeout that has passed, or 0.
 	expired atomic.Int64
+	// hold is what is charged to the caller for an event that isn't complete.
+	hold *reception.Hold
 }
 
 // newHTTPStream returns a stream that owns the body. The function cancel aborts
 // the request. firstTimeout applies until the first byte.
 func newHTTPStream(body io.ReadCloser, cancel context.CancelFunc, firstTimeout, idleTimeout time.Duration) *httpStream {
-	s := &httpStream{body: body, cancel: cancel, idleTimeout: idleTimeout}
+	s := &httpStream{body: body, cancel: cancel, idleTimeout: idleTimeout, hold: reception.NewHold(context.Background())}
 	s.timer = time.AfterFunc(firstTimeout, func() {
 		if s.receiving.Load() {
 			s.expire(idleTimeout)
@@ -48,9 +52,16 @@
 	return s
 }
 
+// chargeTo charges long events to the caller's request to which the context belongs, and returns s.
+func (s *httpStream) chargeTo(ctx context.Context) *httpStream {
+	s.hold = reception.NewHold(ctx)
+	return s
+}
+
 // events sets the request and the offset of the first event, and returns s.
 func (s *httpStream) events(request string, offset int) *httpStream {
 	s.reader = NewEventReader(&activityReader{r: s.body, stream: s}, request, offset)
+	s.reader.hold = s.hold
 	return s
 }
 
@@ -94,6 +105,7 @@
 	}
 	s.cancel()
 	_ = s.body.Close()
+	s.hold.Shrink(0)
 }
 
 // activityReader restarts the idle timer of a stream whenever bytes are
--- a/cmd/router/courier/peer.go
+++ b/cmd/router/courier/peer.go
@@ -148,7 +148,7 @@
 		defer cancel()
 		return nil, readStatusError(w)
 	}
-	return newHTTPStream(w.Body, cancel, p.idleTimeout, p.idleTimeout).events(q.Request, q.Offset), nil
+	return newHTTPStream(w.Body, cancel, p.idleTimeout, p.idleTimeout).chargeTo(r.Context()).events(q.Request, q.Offset), nil
 }
 
 func (p *PeerClient) client(c *reception.Client, address string) peer.Peer {
--- a/cmd/router/courier/service.go
+++ b/cmd/router/courier/service.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -55,6 +56,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// BodyLeftOut says that there was no memory for the body.
+	BodyLeftOut bool
 }
 
 // HTTPService implements Service.
@@ -115,7 +118,7 @@
 // Report implements Service.
 func (s *HTTPService) Report(ctx context.Context, address string) (Report, error) {
 	var b reportBody
-	if err := getJSON(ctx, s.report, "http://"+address+"/report", &b); err != nil {
+	if err := getJSON(ctx, s.report, "http://"+address+"/report", maxReportBytes, &b); err != nil {
 		return Report{}, fmt.Errorf("HTTPService.Report: %w", err)
 	}
 	return Report{Leaving: b.Leaving}, nil
@@ -127,11 +130,17 @@
 		return ServiceResponse{}, sendError(err)
 	}
 	defer func() { _ = w.Body.Close() }()
-	body, err := reception.ReadBody(w.Body, MaxResponseBytes)
+	out := ServiceResponse{Status: w.StatusCode, Header: forwardedHeaders(w.Header)}
+	out.Body, err = reception.ReadResponseBody(r.Context(), w, MaxResponseBytes)
+	var noRoom *reception.NoRoomError
+	if errors.As(err, &noRoom) {
+		out.BodyLeftOut = true
+		return out, nil
+	}
 	if err != nil {
 		return ServiceResponse{}, fmt.Errorf("roundTrip: %w", err)
 	}
-	return ServiceResponse{Status: w.StatusCode, Header: forwardedHeaders(w.Header), Body: body}, nil
+	return out, nil
 }
 
 // hopByHopHeaders apply to one connection and are not forwarded. Authorization
--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -30,6 +30,8 @@
 	peerConnectTimeout  = 400 * time.Millisecond
 	peerIdleConnTimeout = 10 * time.Second
 	storeKeepAlive      = time.Second
+	// maxPeerReply bounds the reply of a peer, in bytes: a routing table in gzip format and the registry.
+	maxPeerReply = platform.MaxRoutingTable
 	// shutdownMargin is subtracted from the grace period.
 	shutdownMargin = 300 * time.Millisecond
 	// flushTimeout limits the wait for buffered log lines.
@@ -53,7 +55,8 @@
 		Name: cfg.Name(), Place: cfg.Place(), PeerAddress: cfg.Peers(), Seeds: cfg.Seeds(), LinkMbps: cfg.LinkMbps(),
 		RetryRatio: cfg.RetryRatio(), RetryExtra: cfg.RetryExtra(), RetryWindow: cfg.RetryWindow(),
 	}, clock, log, platform.NewStore(client, cfg.Store()),
-		reception.NewClient("peers", reception.WithConnectTimeout(peerConnectTimeout), reception.WithIdleConnTimeout(peerIdleConnTimeout)))
+		reception.NewClient("peers", reception.WithConnectTimeout(peerConnectTimeout), reception.WithIdleConnTimeout(peerIdleConnTimeout),
+			reception.WithMaxBody(maxPeerReply)))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	entry, failed, err := listenDeployment(cfg, g, newIntake(cfg.Intake(), log))
--- a/cmd/router/gateway/cached.go
+++ b/cmd/router/gateway/cached.go
@@ -105,7 +105,7 @@
 	if _, err := conn.Write(platform.CachedPartsRequest(u.target.Address())); err != nil {
 		return nil, fmt.Errorf("Gateway.fetchCachedParts: %w", err)
 	}
-	response, err := conn.ReadResponse(http.MethodGet)
+	response, err := conn.ReadResponse(http.MethodGet, nil)
 	if err != nil {
 		return nil, fmt.Errorf("Gateway.fetchCachedParts: %w", err)
 	}
--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -12,6 +12,7 @@
 
 	"vanillalug.example/cmd/router/channel"
 	"vanillalug.example/platform"
+	"vanillalug.example/reception"
 )
 
 const (
@@ -201,7 +202,7 @@
 // reused.
 func (t *transaction) readResponseHead(conn *channel.Conn, u *upstream) (response *http.Response, stray bool, err error) {
 	for range maxStrayResponses + 1 {
-		response, err = conn.ReadResponse(t.req.Method())
+		response, err = t.readHead(conn)
 		if err != nil {
 			return nil, stray, err
 		}
@@ -220,6 +221,17 @@
 	return nil, stray, errors.New("transaction.readResponseHead: only responses to other requests")
 }
 
+// headFactor is what a byte of an unfinished head is charged with: a field of few bytes needs much
+// more in a map.
+const headFactor = 16
+
+// readHead reads the head of a response. A long one is charged to the caller until it is complete.
+func (t *transaction) readHead(conn *channel.Conn) (*http.Response, error) {
+	hold := reception.NewHold(t.r.Context())
+	defer hold.Shrink(0)
+	return conn.ReadResponse(t.req.Method(), func(n int) bool { return hold.Cover(headFactor * n) })
+}
+
 // releaseConn returns the connection to the pool after the body was read, or
 // closes it after a failure.
 func (t *transaction) releaseConn(o responded, err error) {
--- a/cmd/router/gateway/relay.go
+++ b/cmd/router/gateway/relay.go
@@ -122,7 +122,7 @@
 		_, err := buffers.WriteTo(conn.Conn)
 		writeDone <- err
 	}()
-	response, err := conn.ReadResponse(t.req.Method()) //nolint:bodyclose // releaseConn closes the connection that the body is read from
+	response, err := t.readHead(conn) //nolint:bodyclose // releaseConn closes the connection that the body is read from
 	if err != nil {
 		stopWatch()
 		conn.Discard()
--- a/cmd/router/handlers/callers.go
+++ b/cmd/router/handlers/callers.go
@@ -182,7 +182,8 @@
 		h.Set(ReplayedHeader, "true")
 	}
 	reception.ReleaseBody(r)
-	if !reception.HoldResponse(r, len(response.Body)) {
+	// A body that was received for this call is charged already, one from the journal isn't.
+	if response.BodyLeftOut || response.Replayed && !reception.HoldResponse(r, len(response.Body)) {
 		// The call has run, so it can't be refused: the response is cut.
 		panic(http.ErrAbortHandler)
 	}
--- a/cmd/router/handlers/read_body.go
+++ b/cmd/router/handlers/read_body.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// serviceBodyCopies is how often a service call may hold its body's size: the body, and a
-	// response as large.
-	serviceBodyCopies = 2
+	// serviceBodyCopies is how often a service call holds its body.
+	serviceBodyCopies = 1
 	// chatBodyCopies is how often a chat holds its body: as it came, its fields, its messages and
 	// the body for the engine.
 	chatBodyCopies = 4
--- a/cmd/router/office/non_idempotent_call.go
+++ b/cmd/router/office/non_idempotent_call.go
@@ -117,7 +117,11 @@
 	}
 	meter.Count("dispatches", "result", "answered")
 	n.received = a
-	return ledger.ResponseReceived{Outcome: ledger.NewOutcome(a.Status, a.Header, a.Body)}
+	outcome := ledger.NewOutcome(a.Status, a.Header, a.Body)
+	if a.BodyLeftOut {
+		outcome = outcome.WithoutBody()
+	}
+	return ledger.ResponseReceived{Outcome: outcome}
 }
 
 func (n *nonIdempotentCall) mayDispatch() error {
--- a/cmd/router/office/service_call.go
+++ b/cmd/router/office/service_call.go
@@ -33,6 +33,8 @@
 	Header   http.Header
 	Body     []byte
 	Replayed bool
+	// BodyLeftOut says that there was no memory for the body.
+	BodyLeftOut bool
 }
 
 // ServeCall sends a call to a worker of its service and returns the response or a
@@ -105,7 +107,7 @@
 	if err != nil {
 		return Response{}, err
 	}
-	return Response{Status: w.Status, Header: w.Header, Body: w.Body}, nil
+	return Response{Status: w.Status, Header: w.Header, Body: w.Body, BodyLeftOut: w.BodyLeftOut}, nil
 }
 
 // pickWorker picks the less loaded of two random workers that accept new calls,
--- a/cmd/router/serve.go
+++ b/cmd/router/serve.go
@@ -29,6 +29,9 @@
 	// connection without a response; between the two, the handlers respond with
 	// a problem.
 	hardLimitFactor = 2
+	// maxControlBody bounds what peers, the platform and reports of targets may send in one response,
+	// in bytes.
+	maxControlBody = 16 << 20
 )
 
 // listeners are the three HTTP servers of a router.
@@ -153,7 +156,7 @@
 
 func newRouter(cfg *settings.Settings, supported vanillalug.LevelRange, clock schedule.Clock, log hclog.Logger) *office.Router {
 	countedClient := func(name string, kind meter.Kind) *reception.Client {
-		return reception.NewClient(name, reception.WithByteCounter(meter.ControlBytes(kind)))
+		return reception.NewClient(name, reception.WithByteCounter(meter.ControlBytes(kind)), reception.WithMaxBody(maxControlBody))
 	}
 	store := depot.NewClient(countedClient("platform", meter.Platform), cfg.Platform(), cfg.PlatformKey())
 	peers := courier.NewPeerClient(cfg.PeerKey(),
--- a/ledger/outcome.go
+++ b/ledger/outcome.go
@@ -22,6 +22,13 @@
 	return o
 }
 
+// WithoutBody returns the outcome of a call whose body isn't known.
+func (o Outcome) WithoutBody() Outcome {
+	o.body = nil
+	o.bodyOmitted = true
+	return o
+}
+
 // Status returns the HTTP status, or 0 if an operator settled the call.
 func (o Outcome) Status() int { return o.status }
 
--- a/reception/client.go
+++ b/reception/client.go
@@ -26,6 +26,8 @@
 type Client struct {
 	service   httpc.Service
 	transport *http.Transport
+	// maxBody bounds the body of a response, in bytes; 0 is no limit.
+	maxBody int
 }
 
 type clientOptions struct {
@@ -34,6 +36,7 @@
 	idleConnTimeout time.Duration
 	count           ByteCounter
 	keepAlive       net.KeepAliveConfig
+	maxBody         int
 }
 
 // ByteCounter is called with the number of bytes that a connection sent or
@@ -59,6 +62,10 @@
 	return func(o *clientOptions) { o.idleConnTimeout = d }
 }
 
+// WithMaxBody bounds the bodies of responses, in bytes. Reading beyond it fails with a
+// *BodyTooLargeError.
+func WithMaxBody(n int) ClientOption { return func(o *clientOptions) { o.maxBody = n } }
+
 // WithByteCounter counts the bytes of all connections, HTTP headers included.
 func WithByteCounter(count ByteCounter) ClientOption {
 	return func(o *clientOptions) { o.count = count }
@@ -92,7 +99,7 @@
 	}
 	client := &http.Client{Transport: t, CheckRedirect: noRedirect}
 	breaker.NoBreakerFor(name)
-	return &Client{service: httpc.NewServiceWithClient(name, client), transport: t}
+	return &Client{service: httpc.NewServiceWithClient(name, client), transport: t, maxBody: o.maxBody}
 }
 
 // DoRequest sends a request and returns the response. If reading its body fails, the
@@ -102,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.Body = newResponseBody(r.Context(), resp)
+	resp.Body = newResponseBody(r.Context(), resp, c.maxBody)
 	return resp, nil
 }
 
--- a/reception/response_body.go
+++ b/reception/response_body.go
@@ -31,12 +31,13 @@
 	ctx      context.Context
 	idle     *idleTimer
 	received int64
+	limit    int // 0 is no limit
 }
 
-func newResponseBody(ctx context.Context, resp *http.Response) *responseBody {
+func newResponseBody(ctx context.Context, resp *http.Response, limit int) *responseBody {
 	idle := idleTimerOf(ctx)
 	idle.expect(resp.ContentLength)
-	return &responseBody{ReadCloser: resp.Body, ctx: ctx, idle: idle}
+	return &responseBody{ReadCloser: resp.Body, ctx: ctx, idle: idle, limit: limit}
 }
 
 func (b *responseBody) Read(p []byte) (int, error) {
@@ -45,6 +46,9 @@
 	if n > 0 {
 		b.idle.receive(n)
 	}
+	if b.limit > 0 && b.received > int64(b.limit) {
+		return 0, &BodyTooLargeError{limit: b.limit}
+	}
 	if err == nil || errors.Is(err, io.EOF) {
 		return n, err
 	}
