Requests that come late in a planned stop end whole or are refused before they are passed on

Another operator's report: requests that came late in the grace were passed on and cut at its end. It can happen here.

Cause: a router that stops accepted all that came on connections that were open and hadn't carried a request, and from peers, without asking whether the rest of the grace is enough.

Package notice keeps how long requests of each route, or model and service, took, as mean and deviation. A router that stops refuses with 'not run' what nearly all requests like it couldn't finish before the end, or could not by their own limit where nothing is known: when they come, after they have waited for a permit, a connection, a retry or in the queue, and, as unreachable, to the peer that relays. What is open right before the end gets a final response.

--- a/cmd/demo/crowd/endless_test.go
+++ b/cmd/demo/crowd/endless_test.go
@@ -134,7 +134,7 @@
 		platformtest.Route{Prefix: "/once/", Kind: platformtest.NonIdempotent, Service: service, Attempts: 1, TimeoutMS: 15_000},
 		platformtest.Route{Prefix: "/faulty/", Kind: platformtest.Idempotent, Service: faulty, Attempts: 2, TimeoutMS: 15_000},
 		platformtest.Route{Prefix: "/faulty-stream/", Kind: platformtest.Streaming, Service: faultyModel, Attempts: 2, TimeoutMS: 15_000, Resumable: true}))
-	return startPlatformAt(t, store)
+	return startPlatformAt(t, store, "")
 }
 
 // startEndlessOwn starts a router for our own interface whose engine and worker of one service are
--- a/cmd/demo/crowd/router_test.go
+++ b/cmd/demo/crowd/router_test.go
@@ -45,6 +45,8 @@
 	// ordinary are requests of clients within the limits, by listener.
 	ordinary map[string]ordinary
 	logs     func() string
+	// runs counts the requests that reached targets, where a test needs it.
+	runs *atomic.Int64
 }
 
 // ordinary is a request that has to be answered.
@@ -68,17 +70,18 @@
 	}
 	store.PutJSON("op", "config", platformtest.RoutingTable(1, []string{apiKey},
 		platformtest.Route{Prefix: "/once/", Kind: platformtest.NonIdempotent, Service: service, Attempts: 1, TimeoutMS: 15_000}))
-	return startPlatformAt(t, store)
+	return startPlatformAt(t, store, "")
 }
 
-// startPlatformAt starts a router that reads from a store.
-func startPlatformAt(t *testing.T, store *platformtest.Store) *router {
+// startPlatformAt starts a router that reads from a store, with further settings.
+func startPlatformAt(t *testing.T, store *platformtest.Store, further string) *router {
 	addresses := map[string]string{}
 	text := fmt.Sprintf("[router]\nname = r1\nplace = a\nmemory-mb = %d\n[store]\naddress = %s\n[listen]\n", memoryMB, store.Address())
 	for _, name := range []string{"entry", "ready", "peers", "metrics"} {
 		addresses[name] = freeAddress(t)
 		text += name + " = " + addresses[name] + "\n"
 	}
+	text += further
 	file := filepath.Join(t.TempDir(), "r1.ini")
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	cmd := exec.Command(filepath.Join(bin, "router"), "-deployment", file)
--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -147,10 +147,12 @@
 // is in flight, or until just before the end of the grace period.
 func shutdownDeployment(cfg *settings.Deployment, g *gateway.Gateway, entry *reception.Server, log hclog.Logger) int {
 	start := time.Now()
+	stopAt := start.Add(cfg.GracePeriod() - shutdownMargin)
+	g.StopBy(stopAt)
 	g.StartDraining()
 	log.Info("told to stop", "open", g.InFlight())
 	time.Sleep(balancerDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(cfg.GracePeriod()-shutdownMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), stopAt)
 	defer cancel()
 	if err := entry.Shutdown(ctx); err != nil {
 		log.Warn("stopped with open requests", "open", g.InFlight(), "error", err)
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -155,6 +155,7 @@
 	registrationLost chan struct{}
 
 	draining atomic.Bool
+	stopping stopping
 	// warmedUp says that the cache index has the placements from before the start.
 	warmedUp   atomic.Bool
 	inFlight   atomic.Int64
@@ -215,6 +216,7 @@
 		detours:          detour.NewTracker(),
 		view:             crew.NewView(),
 		evacuations:      evacuations{state: evacuation.NewState()},
+		stopping:         newStopping(),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -295,8 +297,8 @@
 // InFlight returns the number of requests in flight.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// StartDraining makes the router unready. Requests that still arrive are served. The
-// peers are told at once that another router issues its permits.
+// StartDraining makes the router unready. Requests that still arrive are served if they can end before
+// the time that StopBy sets. The peers are told at once that another router issues its permits.
 func (g *Gateway) StartDraining() {
 	g.draining.Store(true)
 	g.peers.announce()
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -98,8 +98,13 @@
 	t.lastEventID = t.req.LastEventID()
 	ctx, cancel := context.WithDeadline(t.r.Context(), t.deadline)
 	defer cancel()
+	defer context.AfterFunc(t.g.stopping.ended, cancel)()
 	defer t.limitWriteTime()()
 	for {
+		if rejected := t.rejectStopping(); rejected != nil {
+			t.fail(rejected)
+			return
+		}
 		if name, address, ok := t.relayPeer(); ok {
 			if !t.relay(ctx, name, address) {
 				return
@@ -178,7 +183,9 @@
 		t.releasePlace()
 		t.g.loads.AddLoad(u.key, t.room.load.Negative())
 		if t.completed {
-			t.g.serviceTimes.Observe(t.service, t.g.clock.Now().Sub(t.sentAt))
+			took := t.g.clock.Now().Sub(t.sentAt)
+			t.g.serviceTimes.Observe(t.service, took)
+			t.observeDuration(took)
 		}
 	}()
 	switch o := t.roundTrip(ctx, u).(type) {
@@ -188,6 +195,9 @@
 		return t.handleEvacuated()
 	case permitUnused:
 		return t.handlePermitUnused(u)
+	case stoppingMeanwhile:
+		// It is refused before the next attempt.
+		return true
 	case notRun:
 		if o.status != http.StatusMisdirectedRequest {
 			t.g.defects.RecordAlive(defect.TargetKey(u.key), t.sentAt)
@@ -226,10 +236,10 @@
 	return t.g.retryBudget.Allow(t.service, t.g.routerCount(), now)
 }
 
-// canceledOrExpired reports whether the caller has disconnected or the deadline
-// has passed.
+// canceledOrExpired reports whether the caller has disconnected, the deadline has passed or the
+// router stops.
 func (t *transaction) canceledOrExpired() bool {
-	return t.r.Context().Err() != nil || !t.g.clock.Now().Before(t.deadline)
+	return t.r.Context().Err() != nil || t.g.stopping.ended.Err() != nil || !t.g.clock.Now().Before(t.deadline)
 }
 
 func (t *transaction) elapsed() time.Duration { return t.g.clock.Now().Sub(t.start) }
--- a/cmd/router/office/chat.go
+++ b/cmd/router/office/chat.go
@@ -12,6 +12,9 @@
 // retryAfter is the Retry-After of transient failures.
 const retryAfter = 2 * time.Second
 
+// maxChatTime is longer than any chat takes; chats have no deadline.
+const maxChatTime = time.Hour
+
 // ChatRequest is a chat request of a caller. Returning means that the chat has
 // earlier turns.
 type ChatRequest struct {
@@ -32,15 +35,25 @@
 	if p := r.checkReady(); p != nil {
 		return p
 	}
+	kind, start := chatKind(q.Model), r.clock.Now()
+	if p := r.stopsBefore(kind, maxChatTime); p != nil {
+		return p
+	}
 	if !r.inFlight.begin(q.Workspace.Name(), q.Workspace.InFlightLimit(), r.opts.maxInFlight) {
 		return tooManyRequests()
 	}
 	defer r.inFlight.end(q.Workspace.Name())
 	r.budget.Deposit(q.Workspace.Name(), f.RetryRatio())
-	t := newTransaction(r, f, q, sink)
-	return t.run(ctx)
+	p := newTransaction(r, f, q, sink).run(ctx)
+	if p == nil {
+		r.durations.Observe(kind, r.clock.Now().Sub(start))
+	}
+	return p
 }
 
+// chatKind stands for the chats with a model, whose durations are alike.
+func chatKind(model string) string { return "model " + model }
+
 func (r *Router) checkReady() *vanillalug.Problem {
 	ok, why := r.Ready()
 	if ok || r.draining.Load() && r.register.Ready() {
--- a/cmd/router/office/router.go
+++ b/cmd/router/office/router.go
@@ -14,6 +14,7 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/depot"
 	"vanillalug.example/dispatch"
+	"vanillalug.example/notice"
 	"vanillalug.example/register"
 	"vanillalug.example/roster"
 	"vanillalug.example/schedule"
@@ -47,7 +48,11 @@
 	journal      *journal
 	inFlight     inFlightCounts
 
-	draining    atomic.Bool
+	draining atomic.Bool
+	// stopAt is when a draining router will stop; nil if that isn't known. durations has how long
+	// requests took.
+	stopAt      atomic.Pointer[time.Time]
+	durations   *notice.Durations
 	lastRequest atomic.Uint64
 }
 
@@ -102,10 +107,11 @@
 		name: id.Name, place: id.Place, build: id.Build, levels: id.Levels, opts: o,
 		log: deps.Log, clock: deps.Clock, engines: deps.Engines, calls: deps.Calls, peers: deps.Peers,
 		table: deps.Table, objects: deps.Objects, vms: deps.VMs,
-		roster:   roster.New(deps.Clock, self),
-		register: register.New(deps.Clock, id.Levels),
-		loads:    dispatch.NewLoadView(),
-		budget:   allowance.NewBudget(),
+		roster:    roster.New(deps.Clock, self),
+		register:  register.New(deps.Clock, id.Levels),
+		loads:     dispatch.NewLoadView(),
+		budget:    allowance.NewBudget(),
+		durations: notice.NewDurations(),
 	}
 	r.journal = newJournal(deps.Clock, deps.Table)
 	r.refreshOwners()
--- a/cmd/router/office/run.go
+++ b/cmd/router/office/run.go
@@ -18,6 +18,13 @@
 
 // start sends an admitted request to the engine and streams the response.
 func (r *Router) start(ctx context.Context, es *engineState, e vanillalug.Engine, f *vanillalug.Fleet, q courier.RelayRequest, sink Sink) Result {
+	// It may have waited in the queue since it was accepted.
+	if p := r.stopsBefore(chatKind(q.Model), maxChatTime); p != nil {
+		if q.From != r.name {
+			return AdmitterUnavailable{Reason: "leaving", NotRun: true}
+		}
+		return Rejected{Problem: p}
+	}
 	chat, _ := vanillalug.ParseChatKey(q.Chat)
 	priority := 0
 	if c, ok := f.Class(q.Class); ok {
--- a/cmd/router/office/service_call.go
+++ b/cmd/router/office/service_call.go
@@ -43,6 +43,10 @@
 	if p := r.checkReady(); p != nil {
 		return Response{}, p
 	}
+	kind := "service " + c.Service.Name()
+	if p := r.stopsBefore(kind, c.Service.Deadline()); p != nil {
+		return Response{}, p
+	}
 	if !r.inFlight.begin(c.Workspace.Name(), c.Workspace.InFlightLimit(), r.opts.maxInFlight) {
 		return Response{}, tooManyRequests()
 	}
@@ -58,6 +62,7 @@
 		a, p = r.callNonIdempotent(ctx, c)
 	}
 	if p == nil {
+		r.durations.Observe(kind, r.clock.Now().Sub(start))
 		meter.ResponseTime(c.Workspace.Name(), c.Service.Name(), r.clock.Now().Sub(start))
 	}
 	return a, p
