gateway: only a refusal with the request's id says that it was not run

Two holes were left:

- On a connection that had carried no request, a refusal without an id counted although it was written before the request was read: 503 for a request that ran, with and without retries.
- A request without an id was sent on kept connections, where the copy of any response without an id was taken for its own (TestRequestsWithoutID).

A refusal counts as 'not run' only with the id of the request, which sound targets return; without it the caller gets 502, and the connection isn't used again. Requests without an id get a connection of their own.

--- a/cmd/router/channel/pool.go
+++ b/cmd/router/channel/pool.go
@@ -66,13 +66,15 @@
 	// MaxIdleTime is how long a connection may have been idle; 0 means the idle
 	// timeout announced by the target.
 	MaxIdleTime time.Duration
+	// New demands a connection on which nothing was sent or received before.
+	New bool
 }
 
 // Get returns the most recently used idle connection that is healthy, or dials a
 // new one. It returns a *PoolExhaustedError when limits.MaxOpen is reached and a
 // *ConnectError when dialing fails.
 func (p *Pool) Get(ctx context.Context, now time.Time, limits Limits) (*Conn, error) {
-	for {
+	for !limits.New {
 		c := p.popIdle()
 		if c == nil {
 			break
--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -67,7 +67,8 @@
 // roundTrip sends the request to a target and reads the head of its response.
 func (t *transaction) roundTrip(ctx context.Context, u *upstream) outcome {
 	now := t.g.clock.Now()
-	conn, err := u.pool.Get(ctx, now, channel.Limits{MaxOpen: t.maxOpenConns(), MaxIdleTime: t.maxIdleTime(now)})
+	limits := channel.Limits{MaxOpen: t.maxOpenConns(), MaxIdleTime: t.maxIdleTime(now), New: t.req.ID() == ""}
+	conn, err := u.pool.Get(ctx, now, limits)
 	if err != nil {
 		return notSent{cause: err}
 	}
@@ -103,9 +104,14 @@
 		return noResponse{cause: err}
 	}
 	o := responded{conn: conn, response: response, meta: platform.ReadResponse(response), stopWatch: stopWatch}
-	o.reusable = !stray && !response.Close && writeCompleted(writeDone)
+	bound := t.req.ID() != "" && o.meta.ID() == t.req.ID()
+	o.reusable = bound && !stray && !response.Close && writeCompleted(writeDone)
 	t.observeHead(o.meta)
-	if o.meta.NotRun() {
+	if o.meta.NotRun() && !bound {
+		// It may have been written before the request was read.
+		t.g.log.Warn("a refusal without the request's id", "request", t.req.ID(), "target", t.target, "status", response.StatusCode)
+	}
+	if o.meta.NotRun() && bound {
 		t.releaseConn(o, discardBody(response.Body))
 		return notRun{status: response.StatusCode}
 	}
