platform: kinds of calls to the store don't share connections

Callers would have seen an old routing table (CONFIG).

A response of the store says nothing of the call that it answers. The polls of the registry and of the operator's table shared kept connections, so that a response to one that is written again was taken for that to the other: its revision became the position in the wrong table, and a change before it was never seen.

Each table's polls have connections of their own, where an old copy changes nothing as its revisions are known; whole reads, which are few, have one for each call, so that changes don't pass for the whole table.

--- a/cmd/router/deployment.go
+++ b/cmd/router/deployment.go
@@ -49,12 +49,10 @@
 	log := reception.NewLogger("router", cfg.LogLevel(), true, out).With("router", cfg.Name())
 	limitMemory(cfg.MemoryMB())
 	clock := schedule.NewSystem()
-	client := reception.NewClient("store",
-		reception.WithConnectTimeout(storeConnectTimeout), reception.WithKeepAlive(storeKeepAlive, storeKeepAlive))
 	g := gateway.New(gateway.Config{
 		Name: cfg.Name(), Place: cfg.Place(), PeerAddress: cfg.Peers(), Seeds: cfg.Seeds(), LinkMbps: cfg.LinkMbps(),
 		RetryRatio: cfg.RetryRatio(), RetryExtra: cfg.RetryExtra(), RetryWindow: cfg.RetryWindow(),
-	}, clock, log, platform.NewStore(client, cfg.Store()),
+	}, clock, log, platform.NewStore(storeClients(), cfg.Store()),
 		reception.NewClient("peers", reception.WithConnectTimeout(peerConnectTimeout), reception.WithIdleConnTimeout(peerIdleConnTimeout),
 			reception.WithMaxBody(maxPeerReply)))
 	signals := make(chan os.Signal, 4)
@@ -86,6 +84,18 @@
 	}
 }
 
+// storeClients returns the clients of the store. Reads of whole tables are few, and have a connection
+// for each call.
+func storeClients() platform.Clients {
+	client := func(opts ...reception.ClientOption) *reception.Client {
+		opts = append(opts, reception.WithConnectTimeout(storeConnectTimeout), reception.WithKeepAlive(storeKeepAlive, storeKeepAlive))
+		return reception.NewClient("store", opts...)
+	}
+	return platform.Clients{
+		Targets: client(), RoutingTable: client(), Reads: client(reception.WithoutConnectionReuse()), Others: client(),
+	}
+}
+
 func listenDeployment(
 	cfg *settings.Deployment, g *gateway.Gateway, held *reception.Intake,
 ) (*reception.Server, chan error, error) {
--- a/cmd/router/gateway/harness_test.go
+++ b/cmd/router/gateway/harness_test.go
@@ -101,7 +101,7 @@
 	tr.g = New(Config{
 		Name: name, Place: "a", PeerAddress: freeAddress(t), Seeds: seeds,
 		RetryRatio: 1, RetryExtra: 1000, RetryWindow: 10 * time.Second,
-	}, schedule.NewSystem(), log, platform.NewStore(client, store.Address()),
+	}, schedule.NewSystem(), log, platform.NewStore(platform.SharedClient(client), store.Address()),
 		reception.NewClient("peers", reception.WithConnectTimeout(time.Second)), opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	require.NoError(t, tr.g.Run(ctx))
--- a/cmd/router/gateway/narrow_fleet_test.go
+++ b/cmd/router/gateway/narrow_fleet_test.go
@@ -76,7 +76,7 @@
 		client := narrowClient{client: reception.NewClient("narrow"), link: link, received: n.received}
 		onLink := func(g *Gateway) {
 			g.peerClient = client
-			g.store = platform.NewStore(client, store.Address())
+			g.store = platform.NewStore(platform.SharedClient(client), store.Address())
 		}
 		n.testRouter = newTestRouterWith(t, store, name("b", i), []Option{onLink}, seeds...)
 		seeds = append(seeds, netip.MustParseAddrPort(n.g.cfg.PeerAddress))
--- a/cmd/router/metrics_handler_test.go
+++ b/cmd/router/metrics_handler_test.go
@@ -21,7 +21,7 @@
 // listener that doesn't answer where a request would go.
 func TestMetricsListener(t *testing.T) {
 	g := gateway.New(gateway.Config{Name: "r1", PeerAddress: "127.0.0.1:1"}, schedule.NewSystem(), hclog.NewNullLogger(),
-		platform.NewStore(reception.NewClient("store"), "127.0.0.1:1"), reception.NewClient("peers"))
+		platform.NewStore(platform.SharedClient(reception.NewClient("store")), "127.0.0.1:1"), reception.NewClient("peers"))
 	h := metricsHandler(g)
 	meter.SetGauge("metrics_listener_test", 1)
 	get := func(method, target string) *httptest.ResponseRecorder {
