soak: routing tables grow under traffic, over links of 10 Mbit/s to the store

Each version now has 700 routes more than the one before, up to 2,100, and each connection to the store carries 10 Mbit/s; the limit for a new table is the same.

--- a/cmd/soak/fleet/changes.go
+++ b/cmd/soak/fleet/changes.go
@@ -9,6 +9,12 @@
 	"vanillalug.example/platform/platformtest"
 )
 
+// routesPerStep is by how many routes the routing table grows with each of growthSteps versions.
+const (
+	routesPerStep = 700
+	growthSteps   = 4
+)
+
 // softwareVersions is the number of versions of which targets serve side by side.
 const softwareVersions = 2
 
@@ -48,12 +54,26 @@
 	if h.hardLoad {
 		cold.ColdSeconds, cold.ColdRate = coldStart.Seconds(), coldRate
 	}
-	h.store.PutJSON("op", "config", platformtest.RoutingTable(v, []string{APIKey}, cold,
+	table := append(h.furtherRoutes(v, route), cold,
 		route("/safe/", platformtest.Idempotent, plainService, false),
 		route("/once/", platformtest.NonIdempotent, plainService, false),
 		route("/stream/", platformtest.Streaming, engineService, true),
 		route("/broken/", platformtest.Streaming, engineService, false),
-		route(versionPath(v), platformtest.Idempotent, plainService, false)))
+		route(versionPath(v), platformtest.Idempotent, plainService, false))
+	h.store.PutJSON("op", "config", platformtest.RoutingTable(v, []string{APIKey}, table...))
+}
+
+// furtherRoutes returns routes that nobody calls: the table grows with the versions, and becomes short
+// again. Older builds would need longer than the limit for a long one.
+func (h *Harness) furtherRoutes(v int, route func(prefix, kind, service string, resumable bool) platformtest.Route) []platformtest.Route {
+	if !h.hardLoad {
+		return nil
+	}
+	var out []platformtest.Route
+	for i := range v % growthSteps * routesPerStep {
+		out = append(out, route(fmt.Sprintf("/further-%x/", i), platformtest.Idempotent, plainService, false))
+	}
+	return out
 }
 
 func versionPath(v int) string { return fmt.Sprintf("/version-%d/", v) }
--- a/cmd/soak/fleet/proxy.go
+++ b/cmd/soak/fleet/proxy.go
@@ -26,12 +26,16 @@
 const (
 	chunkDelay = 80 * time.Millisecond
 	chunkSize  = 4 << 10
+	// storeBandwidth is that of a connection to the store, in bytes a second: 10 Mbit/s.
+	storeBandwidth = 1_250_000
 )
 
 // Proxy forwards connections to an address on the loopback interface.
 type Proxy struct {
 	listener net.Listener
 	server   string
+	// bandwidth is that of what the server sends, in bytes a second; 0 is no limit.
+	bandwidth int
 
 	mu    sync.Mutex
 	mode  Mode
@@ -39,12 +43,17 @@
 }
 
 // NewProxy starts a proxy in front of a server.
-func NewProxy(server string) (*Proxy, error) {
+func NewProxy(server string) (*Proxy, error) { return newProxy(server, 0) }
+
+// NewNarrowProxy starts a proxy of which each connection carries that many bytes a second from the server.
+func NewNarrowProxy(server string, bandwidth int) (*Proxy, error) { return newProxy(server, bandwidth) }
+
+func newProxy(server string, bandwidth int) (*Proxy, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: l, server: server, mode: Pass, conns: map[net.Conn]bool{}}
+	p := &Proxy{listener: l, server: server, bandwidth: bandwidth, mode: Pass, conns: map[net.Conn]bool{}}
 	go p.accept()
 	return p, nil
 }
@@ -135,6 +144,9 @@
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
+			if !toServer && p.bandwidth > 0 {
+				time.Sleep(time.Duration(n) * time.Second / time.Duration(p.bandwidth))
+			}
 		}
 		if err != nil {
 			return
--- a/cmd/soak/fleet/router.go
+++ b/cmd/soak/fleet/router.go
@@ -61,7 +61,7 @@
 	if r.CallerProxy, err = NewProxy(r.entry); err != nil {
 		return nil, err
 	}
-	if r.StoreProxy, err = NewProxy(store); err != nil {
+	if r.StoreProxy, err = NewNarrowProxy(store, storeBandwidth); err != nil {
 		return nil, err
 	}
 	text := fmt.Sprintf("[router]\nname = %s\nplace = %s\nmemory-mb = %d\n[listen]\nentry = %s\nready = %s\npeers = %s\nmetrics = %s\n"+
