--- a/amendment/amendment.go
+++ b/amendment/amendment.go
@@ -14,6 +14,9 @@
 	// MaxText is the size of the longest text that is amended, in bytes: encoding takes memory of
 	// several times that size.
 	MaxText = 4 << 20
+	// minText is the size of the shortest text of which a Series makes amendments, in bytes: a short one
+	// is quickly sent whole.
+	minText = 128 << 10
 	// minWindow is the smallest window, in bytes.
 	minWindow = 64 << 10
 	// dictionaryID is the same for every text; the Digest tells which one it is.
--- a/amendment/series.go
+++ b/amendment/series.go
@@ -69,7 +69,7 @@
 		return a, nil
 	}
 	baseText, text := s.Text(base), s.texts[0].text
-	if baseText == nil || max(len(baseText), len(text)) > MaxText {
+	if baseText == nil || max(len(baseText), len(text)) > MaxText || len(text) < minText {
 		return nil, nil
 	}
 	a, err := Make(baseText, text)
--- a/amendment/series_test.go
+++ b/amendment/series_test.go
@@ -11,7 +11,7 @@
 	var s *Series
 	var texts [][]byte
 	for i := range maxEarlier + 2 {
-		texts = append(texts, table(100+10*i, 0, ""))
+		texts = append(texts, table(1400+10*i, 0, ""))
 		s = NewSeries(texts[i], s)
 	}
 	newest := texts[len(texts)-1]
@@ -30,6 +30,15 @@
 	}
 }
 
+// TestShortTextsAreSentWhole guards against an encoder's memory for tables that are short anyway.
+func TestShortTextsAreSentWhole(t *testing.T) {
+	short := table(100, 0, "")
+	s := NewSeries(table(110, 0, ""), NewSeries(short, nil))
+	a, err := s.From(Digest(short))
+	require.NoError(t, err)
+	require.Nil(t, a)
+}
+
 // TestSeriesOfLongTexts checks that a router whose memory is small doesn't keep several long texts.
 func TestSeriesOfLongTexts(t *testing.T) {
 	long := make([]byte, MaxText)
