--- a/cmd/router/gateway/peer_search.go
+++ b/cmd/router/gateway/peer_search.go
@@ -103,9 +103,7 @@
 // askStore polls the store for what a peer has.
 func (s *peerSearch) askStore(ahead peerAhead) {
 	current := s.g.versions()
-	if current.registryBehind(ahead.peerVersions) {
-		s.g.watchers.registry.interrupt()
-	}
+	s.pollRegistry(current, ahead)
 	if ahead.table > current.table {
 		s.g.watchers.table.interrupt()
 	}
@@ -144,8 +142,13 @@
 		return
 	}
 	g.deliveries.Busy(end.from.name, now)
-	if !s.registryPolled && current.registryBehind(end.from.peerVersions) {
-		g.watchers.registry.interrupt()
+	s.pollRegistry(current, end.from)
+}
+
+// pollRegistry polls the store for changes of the registry that a peer has, once in a search.
+func (s *peerSearch) pollRegistry(current versions, ahead peerAhead) {
+	if !s.registryPolled && current.registryBehind(ahead.peerVersions) {
+		s.g.watchers.registry.interrupt()
 		s.registryPolled = true
 	}
 }
