gateway: a poll of the operator's table waits 2 s, so that one that the store lost doesn't hide a change

Callers saw old routing tables, and targets of an evacuated domain got requests, for 8 s after the store had been silent for 1.2 s.

Cause: a poll that begins while the store is silent is never answered, and the one of the operator's table waited 20.7 s. It was renewed when the registry's poll recovered, but a silence shorter than that poll's 2 s loses only the former; all followers poll at the same time after a change, so all hung. TestShortSilenceOfStore failed with the wait of 20 s.

The wait is that of the registry's poll now.

--- a/cmd/router/gateway/watch.go
+++ b/cmd/router/gateway/watch.go
@@ -20,8 +20,8 @@
 	// registryPollTime is how long the store may hold a long poll of the registry
 	// without changes. It bounds how long an unresponsive store goes undetected.
 	registryPollTime = 2 * time.Second
-	// tablePollTime is longer: the poll is restarted when the registry's recovers.
-	tablePollTime = 20 * time.Second
+	// tablePollTime is the same: a poll that begins while the store is silent is never answered.
+	tablePollTime = registryPollTime
 	// pollGrace is how much later than the poll time a response may begin, and how
 	// long it may then stop arriving.
 	pollGrace = 700 * time.Millisecond
