--- a/amendment/amendment_test.go
+++ b/amendment/amendment_test.go
@@ -21,7 +21,7 @@
 		if step > 0 && i%step == 0 {
 			name = mark + name
 		}
-		fmt.Fprintf(&out, `{"name":%q,"host":"%08x.example","prefix":"/%08x/","route_kind":"idempotent","timeout_ms":1000,"max_attempts":2},`,
+		fmt.Fprintf(&out, `{"name":%q,"host":"%08x.example","prefix":"/%08x/","kind":"idempotent","timeout_ms":1000,"attempts":2},`,
 			name, r.Uint32(), r.Uint32())
 	}
 	return out.Bytes()
