--- a/review/standins/router.go
+++ b/review/standins/router.go
@@ -86,7 +86,7 @@
 	for i, r := range out {
 		seeds := strings.Join(peers[:min(n, 3)], ",")
 		text := strings.NewReplacer(
-			"{{node_name}}", r.Name, "{{zone}}", zones[i%len(zones)], "{{limits.memory_mb}}", "206",
+			"{{limits.link_mbps}}", "700", "{{node_name}}", r.Name, "{{zone}}", zones[i%len(zones)], "{{limits.memory_mb}}", "206",
 			"{{listen.frontend}}", r.Entry, "{{listen.ready}}", r.ready, "{{listen.control_plane}}", peers[i],
 			"{{ip}}:9100", freeAddress(), "{{seed_nodes}}", seeds, "{{platform.address}}", storeOf(i),
 			"{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_extra}}", fmt.Sprint(b.RetryExtra),
