--- a/cmd/router/gateway/defects.go
+++ b/cmd/router/gateway/defects.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -55,6 +56,21 @@
 	return &rejection{status: statusDefect, reason: "the request crashes targets"}
 }
 
+// countSuspects counts a request that is passed on although targets crashed on what it holds.
+func (t *transaction) countSuspects(now time.Time) {
+	if t.g.defects.Empty() {
+		return
+	}
+	most := 0
+	for _, s := range t.subjects() {
+		crashes, _ := t.g.defects.Crashes(s, now)
+		most = max(most, crashes)
+	}
+	if most > 0 {
+		meter.CountBy("defect_suspects_passed", "service", t.service, "crashes", strconv.Itoa(min(most, defect.CrashesToBlock)))
+	}
+}
+
 // recordCrash records that the target closed the connection before it was beyond the beginning
 // of its response. What the caller has received doesn't matter. What is suspect depends on
 // whether the target had begun to respond: then it ran this request, otherwise only the request
@@ -62,11 +78,12 @@
 // another target.
 func (t *transaction) recordCrash(u *upstream, begun bool, cause error) (mayResend bool) {
 	if t.written.beyondBeginning() {
+		t.logCrash("ran well", begun, cause, nil)
 		t.recordSound()
 		return true
 	}
 	if why := t.otherCause(u, cause); why != "" {
-		t.g.log.Debug("a response that broke off is no evidence", "request", t.req.ID(), "target", t.target, "reason", why)
+		t.logCrash(why, begun, cause, nil)
 		return true
 	}
 	subjects := t.subjects()
@@ -75,6 +92,7 @@
 	}
 	now := t.g.clock.Now()
 	meter.CountBy("defect_evidence", "service", t.service, "begun", strconv.FormatBool(begun))
+	t.logCrash("suspect", begun, cause, subjects)
 	t.g.logBlocked(t.g.defects.RecordCrash(subjects, defect.TargetKey(u.key), t.sentAt, now), "own", now)
 	t.g.peers.announce()
 	if t.g.defects.MayResend(subjects, now) {
@@ -84,6 +102,15 @@
 	return false
 }
 
+// logCrash logs that a target ended a response, how far it had come with it, and what is suspect.
+func (t *transaction) logCrash(verdict string, begun bool, cause error, suspects []defect.Subject) {
+	if verdict != "suspect" {
+		meter.CountBy("defect_no_evidence", "service", t.service, "reason", verdict)
+	}
+	t.g.log.Info("response broke off", "request", t.req.ID(), "target", t.target, "begun", begun, "events", t.written.events,
+		"written-for", t.written.lastAt.Sub(t.written.firstAt).String(), "verdict", verdict, "suspects", describeSubjects(suspects), "error", cause)
+}
+
 // otherCause returns why the end of a response says nothing about the request, "" if it may.
 func (t *transaction) otherCause(u *upstream, cause error) string {
 	switch {
@@ -123,6 +150,13 @@
 	}
 }
 
+// reportDefects sets the gauges of what is known to crash targets.
+func (g *Gateway) reportDefects(now time.Time) {
+	meter.SetGauge("defects_known", float64(g.defects.CountKnown()))
+	meter.SetGauge("defects_blocked", float64(g.defects.CountBlocked(now)))
+	meter.SetGauge("defects_not_told", float64(g.defects.CountNotTold()))
+}
+
 // logBlocked logs subjects that are blocked from now on. source is the peer that reported
 // the last crash, or "own".
 func (g *Gateway) logBlocked(subjects []defect.Subject, source string, now time.Time) {
@@ -141,6 +175,14 @@
 		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+func describeSubjects(subjects []defect.Subject) string {
+	out := make([]string, len(subjects))
+	for i, s := range subjects {
+		out[i] = describeSubject(s)
+	}
+	return strings.Join(out, " ")
+}
+
 func describeSubject(s defect.Subject) string {
 	switch s := s.(type) {
 	case defect.Part:
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -166,6 +166,7 @@
 	t.written = writeProgress{}
 	t.target = u.target.Incarnation()
 	t.software = u.target.SoftwareVersion()
+	t.countSuspects(t.sentAt)
 	prefillTokens := t.req.Work().PromptTokens()
 	t.watchCapacity(u)
 	load := t.occupyRoom(prefillTokens)
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -226,6 +226,7 @@
 	g.reportTableLag(now)
 	g.logCold(now)
 	g.reportSlowTargets(now)
+	g.reportDefects(now)
 	upstreams := g.upstreams.Load()
 	g.forgetLimits(g.targetStates.expire(upstreams.byIncarnation, now), now)
 	g.detours.Retain(func(service string) bool { return len(upstreams.byService[service]) > 0 })
--- a/defect/report.go
+++ b/defect/report.go
@@ -36,6 +36,7 @@
 // those with the most crashes and then the newest first, MaxReports at most.
 func (t *Tracker) Reports(now time.Time) []Report {
 	if t.known.Load() == 0 {
+		t.notTold.Store(0)
 		return nil
 	}
 	t.mu.Lock()
@@ -54,6 +55,7 @@
 	slices.SortFunc(told, func(a, b Subject) int {
 		return cmp.Or(t.records[b].compare(t.records[a], now), cmp.Compare(a.key(), b.key()))
 	})
+	t.notTold.Store(int64(max(len(told)-MaxReports, 0)))
 	out := make([]Report, 0, min(len(told), MaxReports))
 	for _, p := range told[:min(len(told), MaxReports)] {
 		out = append(out, t.records[p].report(now))
--- a/defect/tracker.go
+++ b/defect/tracker.go
@@ -37,6 +37,8 @@
 type Tracker struct {
 	// known is the number of records, read without the lock: mostly there are none.
 	known atomic.Int64
+	// notTold is the number of subjects that the last message to peers had no room for.
+	notTold atomic.Int64
 	// sound has the subjects on which targets ran well lately.
 	sound soundTimes
 
@@ -120,6 +122,12 @@
 	return r.count(now), first
 }
 
+// CountKnown returns the number of subjects with evidence.
+func (t *Tracker) CountKnown() int { return int(t.known.Load()) }
+
+// CountNotTold returns the number of subjects that the last message to peers had no room for.
+func (t *Tracker) CountNotTold() int { return int(t.notTold.Load()) }
+
 // CountBlocked returns the number of blocked subjects.
 func (t *Tracker) CountBlocked(now time.Time) int {
 	t.mu.Lock()
