defect: crashes before the head and long after it tell of parts as well

What callers saw: engines crashed one after the other on a prompt part, and most sound streams with them, without end if an engine lost the head that it had just written, or crashed at its 14th event. Cause: evidence about parts was taken at one moment of a response only. Before the head the whole request was named, and no two requests with the part are alike; after 8 events in 250 ms the crash itself was recorded as proof that the part is sound.

Now each crash has a stage. One at the beginning counts as before. One before the head, or of a stream that ran well, counts if the subject comes again after it: all that a target had is suspect alike then. How often it came is counted by the router that sent the request (round), as ages in reports are late by their time on the way: before, crashes of one moment that were told one by one passed for several. Progress clears crashes before or at the beginning, only a complete response clears late ones. A part that another blocked one explains is let through one request at a time and router, with the outcome awaited; before, all of them were.

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -43,6 +43,9 @@
 		}
 		return nil, 0, rejected
 	}
+	if rejected := t.beginTrial(now); rejected != nil {
+		return nil, 0, rejected
+	}
 	chosen := decision.(fitting.Chosen)
 	t.choice = describeChoice(in.candidates, chosen.Index)
 	t.copyFrom, t.wasCached = "", in.candidates[chosen.Index].Cached
@@ -77,7 +80,7 @@
 // rejectUnservable returns a rejection if no target may get the request, whatever their load, or nil.
 // It changes nothing but the transaction.
 func (t *transaction) rejectUnservable(random uint64, now time.Time) *rejection {
-	if rejected := t.rejectDefect(now); rejected != nil {
+	if rejected := t.rejectDefect(random, now); rejected != nil {
 		return rejected
 	}
 	return t.rejectEvacuated(random)
--- a/cmd/router/gateway/defects.go
+++ b/cmd/router/gateway/defects.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"vanillalug.example/cmd/router/logbook"
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/defect"
 	"vanillalug.example/fitting"
@@ -19,6 +20,10 @@
 // request has not run, and without a Retry-After doesn't invite to send it again.
 const statusDefect = http.StatusServiceUnavailable
 
+// trialRetryAfter is the Retry-After of a request that may be served once another one has shown that
+// it doesn't crash targets.
+const trialRetryAfter = time.Second
+
 // subjects returns what may crash targets: the parts of the prompt that requests share, and
 // the whole request.
 func (t *transaction) subjects() []defect.Subject {
@@ -41,19 +46,47 @@
 // wholeRequest returns the subject that stands for the request whenever it comes again.
 func (t *transaction) wholeRequest() defect.Subject { return defect.Request(t.contentKey()) }
 
-// rejectDefect returns a rejection if the request or a part of its prompt crashes targets.
-// Callers get no time to retry after, as it won't be served then either.
-func (t *transaction) rejectDefect(now time.Time) *rejection {
-	if t.g.defects.Empty() {
+// rejectDefect returns a rejection if the request or a part of its prompt crashes targets, or may do so
+// and it isn't this request that tries. It changes nothing but the transaction, as explanations use it.
+func (t *transaction) rejectDefect(random uint64, now time.Time) *rejection {
+	if t.g.defects.Empty() || t.trialBegun {
 		return nil
 	}
-	subject, blocked := t.g.defects.Blocked(t.subjects(), now)
-	if !blocked {
+	t.tries = nil
+	switch a := t.g.defects.Admit(t.subjects(), t.g.routerCount(), random, now).(type) {
+	case defect.Trial:
+		t.tries = a.Subject
+	case defect.Rejected:
+		return t.defectRejection(a, now)
+	}
+	return nil
+}
+
+// beginTrial records that the request tries whether a subject still crashes targets. It returns a
+// rejection if another one has just begun to.
+func (t *transaction) beginTrial(now time.Time) *rejection {
+	if t.tries == nil || t.trialBegun {
 		return nil
 	}
-	crashes, first := t.g.defects.Crashes(subject, now)
-	t.detail = describeSubject(subject) + " crashes=" + strconv.Itoa(crashes) + " for=" + now.Sub(first).Round(time.Millisecond).String()
-	return &rejection{status: statusDefect, reason: "the request crashes targets"}
+	if !t.g.defects.BeginTrial(t.tries, now) {
+		return t.defectRejection(defect.Rejected{Subject: t.tries, Soon: true}, now)
+	}
+	t.trialBegun = true
+	meter.CountBy("defect_trials", "service", t.service)
+	t.g.log.Info("a request tries whether it still crashes targets", "request", t.req.ID(), "subject", describeSubject(t.tries))
+	return nil
+}
+
+// defectRejection returns the rejection of a request with a subject that crashes targets. Callers get a
+// time to retry after only if it may be served then.
+func (t *transaction) defectRejection(r defect.Rejected, now time.Time) *rejection {
+	crashes, first := t.g.defects.Crashes(r.Subject, now)
+	retryAfter := time.Duration(0)
+	if r.Soon {
+		retryAfter = trialRetryAfter
+	}
+	t.detail = describeSubject(r.Subject) + " crashes=" + strconv.Itoa(crashes) + " for=" + now.Sub(first).Round(time.Millisecond).String()
+	return &rejection{status: statusDefect, reason: "the request crashes targets", retryAfter: retryAfter}
 }
 
 // countSuspects counts a request that is passed on although targets crashed on what it holds.
@@ -71,29 +104,17 @@
 	}
 }
 
-// recordCrash records that the target closed the connection before it was beyond the beginning
-// of its response. What the caller has received doesn't matter. What is suspect depends on
-// whether the target had begun to respond: then it ran this request, otherwise only the request
-// that comes again can be told from others. It reports whether the request may be sent to
-// another target.
+// recordCrash records that the target closed the connection before its response was complete. What the
+// caller has received doesn't matter. It reports whether the request may be sent to another target.
 func (t *transaction) recordCrash(u *upstream, begun bool, cause error) (mayResend bool) {
-	if t.written.beyondBeginning() {
-		t.logCrash("ran well", begun, cause, nil)
-		t.recordSound()
-		return true
-	}
 	if why := t.otherCause(u, cause); why != "" {
 		t.logCrash(why, begun, cause, nil)
 		return true
 	}
-	subjects := t.subjects()
-	if !begun {
-		subjects = []defect.Subject{t.wholeRequest()}
-	}
-	now := t.g.clock.Now()
+	subjects, stage, now := t.subjects(), t.stage(begun), t.g.clock.Now()
 	meter.CountBy("defect_evidence", "service", t.service, "begun", strconv.FormatBool(begun))
 	t.logCrash("suspect", begun, cause, subjects)
-	t.g.logBlocked(t.g.defects.RecordCrash(subjects, defect.TargetKey(u.key), t.sentAt, now), "own", now)
+	t.g.logBlocked(t.g.defects.RecordCrashAt(stage, subjects, defect.TargetKey(u.key), t.sentAt, now), "own", now)
 	t.g.peers.announce()
 	if t.g.defects.MayResend(subjects, now) {
 		return true
@@ -102,6 +123,17 @@
 	return false
 }
 
+// stage returns how far the target of the current attempt has come with the request.
+func (t *transaction) stage(begun bool) defect.Stage {
+	switch {
+	case t.written.beyondBeginning():
+		return defect.Running
+	case begun:
+		return defect.Beginning
+	}
+	return defect.Waiting
+}
+
 // logCrash logs that a target ended a response, how far it had come with it, and what is suspect.
 func (t *transaction) logCrash(verdict string, begun bool, cause error, suspects []defect.Subject) {
 	if verdict != "suspect" {
@@ -128,20 +160,26 @@
 // those that a peer relays.
 func (t *transaction) recordProgress(u *upstream, events []byte) {
 	if u != nil && t.written.add(events, t.g.clock.Now()) {
-		t.recordSound()
+		t.reportUnblocked(t.g.defects.RecordProgress(t.runSubjects(), t.g.clock.Now()))
 	}
 }
 
-// recordSound records that a target ran well on the request, which clears it and the parts of
-// its prompt. While nothing is suspect, the whole request isn't hashed for it.
+// recordSound records that a target completed the request, which clears it and the parts of its prompt.
 func (t *transaction) recordSound() {
-	var subjects []defect.Subject
+	t.reportUnblocked(t.g.defects.RecordSound(t.runSubjects(), t.g.clock.Now()))
+}
+
+// runSubjects returns what a target ran well on. While nothing is suspect, the whole request isn't
+// hashed for it.
+func (t *transaction) runSubjects() []defect.Subject {
 	if t.g.defects.Empty() {
-		subjects = t.promptParts()
-	} else {
-		subjects = t.subjects()
+		return t.promptParts()
 	}
-	unblocked := t.g.defects.RecordSound(subjects, t.g.clock.Now())
+	return t.subjects()
+}
+
+// reportUnblocked logs, stores and announces what is not rejected any more.
+func (t *transaction) reportUnblocked(unblocked []defect.Subject) {
 	for _, s := range unblocked {
 		t.g.log.Info("what seemed to crash targets was answered; no longer rejected", "subject", describeSubject(s), "request", t.req.ID())
 	}
@@ -193,67 +231,12 @@
 	return ""
 }
 
-func subjectToProto(s defect.Subject) (key uint64, wholeRequest bool) {
-	switch s := s.(type) {
-	case defect.Part:
-		return uint64(s), false
-	case defect.Request:
-		return uint64(s), true
-	}
-	return 0, false
-}
-
-func subjectFromProto(r *peer.DefectReport) defect.Subject {
-	if r.WholeRequest {
-		return defect.Request(r.Part)
-	}
-	return defect.Part(r.Part)
-}
-
-// defectsToProto returns the reports for a message to peers.
-func defectsToProto(reports []defect.Report) []*peer.DefectReport {
-	out := make([]*peer.DefectReport, 0, len(reports))
-	for _, r := range reports {
-		key, wholeRequest := subjectToProto(r.Subject)
-		report := &peer.DefectReport{Part: key, WholeRequest: wholeRequest}
-		if r.ClearedAge >= 0 {
-			report.Cleared = true
-			report.ClearedMs = uint32(r.ClearedAge.Milliseconds())
-		}
-		for _, c := range r.Crashes {
-			report.Crashes = append(report.Crashes, &peer.EngineCrash{
-				Target: uint64(c.Target), AgoMs: uint32(c.Age.Milliseconds()), SentAgoMs: uint32(c.SentAge.Milliseconds()),
-			})
-		}
-		out = append(out, report)
-	}
-	return out
-}
-
-func defectsFromProto(in []*peer.DefectReport) []defect.Report {
-	out := make([]defect.Report, 0, len(in))
-	for _, r := range in {
-		report := defect.Report{Subject: subjectFromProto(r), ClearedAge: -1}
-		if r.Cleared {
-			report.ClearedAge = time.Duration(r.ClearedMs) * time.Millisecond
-		}
-		for _, c := range r.Crashes {
-			report.Crashes = append(report.Crashes, defect.Crash{
-				Target: defect.TargetKey(c.Target), Age: time.Duration(c.AgoMs) * time.Millisecond,
-				// Older routers don't send the second one.
-				SentAge: time.Duration(max(c.SentAgoMs, c.AgoMs)) * time.Millisecond,
-			})
-		}
-		out = append(out, report)
-	}
-	return out
-}
-
 // handleDefects adds the evidence of a peer.
 func (g *Gateway) handleDefects(from string, reports []*peer.DefectReport) {
 	if len(reports) == 0 {
 		return
 	}
 	now := g.clock.Now()
-	g.logBlocked(g.defects.RecordFromPeer(defectsFromProto(reports), now), from, now)
+	blocked := g.defects.RecordFromPeer(logbook.FromProto(reports), now)
+	g.logBlocked(blocked, from, now)
 }
--- a/cmd/router/gateway/peer_server.go
+++ b/cmd/router/gateway/peer_server.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"vanillalug.example"
+	"vanillalug.example/cmd/router/logbook"
 	"vanillalug.example/crew"
 	"vanillalug.example/peer"
 )
@@ -11,7 +12,7 @@
 // GetBeliefs implements peer.Beliefs: it returns what is newer here than the
 // versions in the request, or placements if the peer asks for them.
 func (g *Gateway) GetBeliefs(_ context.Context, r *peer.GetBeliefsRequest) (*peer.GetBeliefsReply, error) {
-	reply := &peer.GetBeliefsReply{From: g.cfg.Name, Defects: defectsToProto(g.defects.Reports(g.clock.Now()))}
+	reply := &peer.GetBeliefsReply{From: g.cfg.Name, Defects: logbook.ToProto(g.defects.Reports(g.clock.Now()))}
 	if r.From != nil {
 		g.peers.add(g.routerAddresses([]*peer.RouterAddress{r.From}))
 	}
--- a/cmd/router/gateway/share.go
+++ b/cmd/router/gateway/share.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"vanillalug.example"
+	"vanillalug.example/cmd/router/logbook"
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
 )
@@ -71,7 +72,7 @@
 		out.Failing = append(out.Failing, uint64(key))
 	}
 	out.Usage = usageToProto(g.usageNews(now))
-	out.Defects = defectsToProto(g.defects.Reports(now))
+	out.Defects = logbook.ToProto(g.defects.Reports(now))
 	out.Evacuations = g.evacuationNews(now)
 	out.Limits = limitsToProto(g.limits.OwnReports(g.peers.newsTime(), now))
 	out.Limits = append(out.Limits, coldLimitsToProto(g.limits.OwnColdReports(now))...)
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -39,8 +39,11 @@
 	body      []byte
 	// defectSubjects is nil until subjects is called.
 	defectSubjects []defect.Subject
-	start          time.Time
-	deadline       time.Time
+	// tries is nil, or the subject of which the request tries whether it still crashes targets.
+	tries      defect.Subject
+	trialBegun bool
+	start      time.Time
+	deadline   time.Time
 
 	// sentAt is when the current attempt began.
 	sentAt time.Time
--- a/defect/fleet_test.go
+++ b/defect/fleet_test.go
@@ -24,12 +24,15 @@
 	crashes, lateCrashes int
 	fifthAt              time.Time
 	sound, soundRejected int
+	// crashAfter is when a target crashes on the deadly part, from the head of the response.
+	crashAfter time.Duration
 }
 
 type request struct {
 	router  int
 	parts   []Subject
 	target  TargetKey
+	sent    time.Time
 	begins  time.Time
 	ends    time.Time
 	soundAt time.Time
@@ -46,6 +49,17 @@
 	return !now.Before(r.begins) && now.Before(r.begins.Add(beginning))
 }
 
+// stage returns how far the target has come.
+func (r request) stage(now time.Time) Stage {
+	switch {
+	case now.Before(r.begins):
+		return Waiting
+	case r.justBegun(now):
+		return Beginning
+	}
+	return Running
+}
+
 // ranWell reports whether the response is beyond its beginning, and as far again since the last
 // time.
 func (r request) ranWell(now time.Time) bool {
@@ -90,23 +104,39 @@
 
 func (f *fleet) send(r request, targets int) {
 	tracker := f.routers[r.router]
-	if _, blocked := tracker.Blocked(r.parts, f.now); blocked {
+	if !admits(tracker, r.parts, len(f.routers), f.rnd.Uint64(), f.now) {
 		if !f.isDeadly(r.parts) && f.settled() {
 			f.soundRejected++
 		}
 		return
 	}
-	for {
-		r.target = TargetKey(f.rnd.IntN(targets))
-		if f.now.After(f.down[r.target]) {
-			break
+	r.target = TargetKey(f.rnd.IntN(targets))
+	for i := 0; !f.now.After(f.down[r.target]); i++ {
+		if i == targets {
+			return
 		}
+		r.target = (r.target + 1) % TargetKey(targets)
 	}
+	r.sent = f.now
 	r.begins = f.now.Add(time.Duration(f.rnd.IntN(400)) * time.Millisecond)
 	r.ends = r.begins.Add(eventTime + time.Duration(f.rnd.IntN(2000))*time.Millisecond)
+	if f.isDeadly(r.parts) {
+		r.ends = r.begins.Add(time.Hour)
+	}
 	f.inFlight = append(f.inFlight, r)
 }
 
+// admits reports whether a router lets a request through.
+func admits(tr *Tracker, subjects []Subject, routers int, random uint64, now time.Time) bool {
+	switch a := tr.Admit(subjects, routers, random, now).(type) {
+	case Rejected:
+		return false
+	case Trial:
+		return tr.BeginTrial(a.Subject, now)
+	}
+	return true
+}
+
 // crash ends a target and all of its requests.
 func (f *fleet) crash(target TargetKey, targets int) {
 	f.down[target] = f.now.Add(restart)
@@ -122,12 +152,7 @@
 	defer func() { f.starts[target]++ }()
 	for _, r := range broken {
 		tracker := f.routers[r.router]
-		switch {
-		case r.justBegun(f.now):
-			tracker.RecordCrash(r.parts, f.incarnation(target), r.begins, f.now)
-		case r.begins.Before(f.now):
-			tracker.RecordSound(r.parts, f.now)
-		}
+		tracker.RecordCrashAt(r.stage(f.now), r.parts, f.incarnation(target), r.sent, f.now)
 		if r.attempt == 0 && tracker.MayResend(r.parts, f.now) {
 			r.attempt++
 			f.send(r, targets)
@@ -155,7 +180,7 @@
 		if f.now.Before(f.down[r.target]) {
 			continue
 		}
-		if f.isDeadly(r.parts) && !f.now.Before(r.begins.Add(eventTime-step)) {
+		if f.isDeadly(r.parts) && !f.now.Before(r.begins.Add(f.crashAfter)) {
 			f.crashes++
 			if f.crashes == 5 {
 				f.fifthAt = f.now
@@ -171,7 +196,7 @@
 		if f.now.Before(r.ends) {
 			if r.ranWell(f.now) {
 				r.soundAt = f.now
-				f.routers[r.router].RecordSound(r.parts, f.now)
+				f.routers[r.router].RecordProgress(r.parts, f.now)
 			}
 			left = append(left, r)
 			continue
@@ -212,8 +237,21 @@
 	// deadly and sound are requests, failures crashes of other causes, per step in parts per
 	// thousand, domains the losses of a third of the targets at once.
 	deadly, sound, failures, domains int
+	// crash is when a target crashes on the deadly part.
+	crash crashMoment
 }
 
+// crashMoment is a time from when the head of a response reaches the router.
+type crashMoment time.Duration
+
+const (
+	beforeFirstEvent = crashMoment(eventTime - step)
+	// beforeHead is before anything of the response reaches the router.
+	beforeHead = crashMoment(-step)
+	// whileRunning is when the response counts as one that runs well.
+	whileRunning = crashMoment(2 * beginning)
+)
+
 // seeds returns the number of runs: large fleets take long.
 func (l simulatedLoad) seeds() int {
 	if l.routers > 50 {
@@ -235,23 +273,35 @@
 // share the other parts and targets also crash by themselves.
 func TestSimulatedDeadlyPart(t *testing.T) {
 	tests := map[string]simulatedLoad{
-		"small fleet":                    {18, 9, 14, 270, 0, 0},
-		"large fleet":                    {50, 120, 130, 1200, 0, 0},
-		"seldom":                         {18, 9, 2, 270, 0, 0},
-		"targets fail as well":           {40, 60, 30, 800, 30, 0},
-		"only other failures":            {40, 60, 0, 800, 60, 0},
-		"many deadly, few routers":       {3, 20, 200, 600, 0, 0},
-		"113 routers":                    {113, 60, 60, 1700, 20, 0},
-		"195 routers":                    {195, 120, 100, 3000, 40, 0},
-		"domains fail":                   {18, 9, 0, 1000, 0, 4},
-		"domains fail, 113 routers":      {113, 60, 0, 3000, 0, 4},
-		"domains fail, 195 routers":      {195, 120, 0, 6000, 0, 4},
-		"deadly part and domains, large": {113, 60, 60, 3000, 0, 4},
+		"small fleet":                    {18, 9, 14, 270, 0, 0, beforeFirstEvent},
+		"large fleet":                    {50, 120, 130, 1200, 0, 0, beforeFirstEvent},
+		"seldom":                         {18, 9, 2, 270, 0, 0, beforeFirstEvent},
+		"targets fail as well":           {40, 60, 30, 800, 30, 0, beforeFirstEvent},
+		"only other failures":            {40, 60, 0, 800, 60, 0, beforeFirstEvent},
+		"many deadly, few routers":       {3, 20, 200, 600, 0, 0, beforeFirstEvent},
+		"113 routers":                    {113, 60, 60, 1700, 20, 0, beforeFirstEvent},
+		"195 routers":                    {195, 120, 100, 3000, 40, 0, beforeFirstEvent},
+		"domains fail":                   {18, 9, 0, 1000, 0, 4, beforeFirstEvent},
+		"domains fail, 113 routers":      {113, 60, 0, 3000, 0, 4, beforeFirstEvent},
+		"domains fail, 195 routers":      {195, 120, 0, 6000, 0, 4, beforeFirstEvent},
+		"deadly part and domains, large": {113, 60, 60, 3000, 0, 4, beforeFirstEvent},
+		"head lost":                      {18, 9, 14, 270, 0, 0, beforeHead},
+		"head lost, seldom":              {18, 9, 2, 270, 0, 0, beforeHead},
+		"head lost, targets fail":        {40, 60, 30, 800, 30, 0, beforeHead},
+		"head lost, few routers":         {3, 20, 200, 600, 0, 0, beforeHead},
+		"head lost, 113 routers":         {113, 60, 60, 1700, 20, 0, beforeHead},
+		"head lost, 300 routers":         {300, 180, 100, 4600, 40, 0, beforeHead},
+		"head lost, domains, large":      {113, 60, 60, 3000, 0, 4, beforeHead},
+		"late":                           {18, 9, 14, 270, 0, 0, whileRunning},
+		"late, few routers":              {3, 20, 200, 600, 0, 0, whileRunning},
+		"late, 113 routers":              {113, 60, 60, 1700, 20, 0, whileRunning},
+		"late, 300 routers":              {300, 180, 100, 4600, 40, 0, whileRunning},
+		"late, domains, large":           {113, 60, 60, 3000, 0, 4, whileRunning},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(tt.seeds()) {
-				f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1)), down: map[TargetKey]time.Time{}, starts: map[TargetKey]int{}, now: start}
+				f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1)), down: map[TargetKey]time.Time{}, starts: map[TargetKey]int{}, now: start, crashAfter: time.Duration(tt.crash)}
 				for range tt.routers {
 					f.routers = append(f.routers, NewTracker())
 				}
--- a/defect/request_test.go
+++ b/defect/request_test.go
@@ -151,7 +151,7 @@
 	if s.down(target) {
 		return
 	}
-	_, blocked := s.tracker.Blocked([]Subject{subject}, s.now)
+	blocked := !admits(s.tracker, []Subject{subject}, 1, s.rnd.Uint64(), s.now)
 	if subject != Request(0) {
 		s.sound++
 		if blocked {
--- a/defect/tracker.go
+++ b/defect/tracker.go
@@ -13,6 +13,8 @@
 	CrashesToBlock = 3
 	// crashesToStopRetries is the number from which a request isn't sent again.
 	crashesToStopRetries = 2
+	// crashesToKeep is the number from which the evidence is kept beyond a restart of all routers.
+	crashesToKeep = 2
 	// evidenceTTL is how long a crash counts. One request may then find out whether
 	// the subject still crashes targets.
 	evidenceTTL = 10 * time.Minute
@@ -24,6 +26,8 @@
 	evictedFraction = 4
 	// maxCrashes bounds the evidence about one subject.
 	maxCrashes = 64
+	// maxRound bounds what a peer may state of how often a subject came.
+	maxRound = 64
 	// maxReportDelay is how long a report may be on its way: by so much a crash seems
 	// later than it was.
 	maxReportDelay = time.Second
@@ -39,8 +43,10 @@
 	known atomic.Int64
 	// notTold is the number of subjects that the last message to peers had no room for.
 	notTold atomic.Int64
-	// sound has the subjects on which targets ran well lately.
-	sound soundTimes
+	// sound has the subjects on which targets ran well lately, and completed those of responses that
+	// were completed.
+	sound     soundTimes
+	completed soundTimes
 
 	mu      sync.Mutex
 	records map[Subject]*record
@@ -53,25 +59,73 @@
 	return &Tracker{records: map[Subject]*record{}, targets: map[TargetKey]*targetRecord{}}
 }
 
+// Kept returns the subjects whose evidence is worth keeping beyond a restart of all routers.
+func (t *Tracker) Kept(now time.Time) []Subject {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Subject
+	for s, r := range t.records {
+		if r.count(now) >= crashesToKeep {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// KeptOf returns those of the subjects whose evidence is worth keeping beyond a restart of all routers.
+func (t *Tracker) KeptOf(subjects []Subject, now time.Time) []Subject {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Subject
+	for _, s := range subjects {
+		if r := t.records[s]; r != nil && r.count(now) >= crashesToKeep {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // Empty reports whether there is no evidence, without waiting for a lock.
 func (t *Tracker) Empty() bool { return t.known.Load() == 0 }
 
-// RecordCrash records that a target crashed on a request with the subjects, which was sent
-// at a time. It returns the subjects that are blocked from now on.
+// RecordCrash records that a target crashed at the beginning of the response to a request with the
+// subjects, which was sent at a time. It returns the subjects that are blocked from now on.
 func (t *Tracker) RecordCrash(subjects []Subject, target TargetKey, sent, now time.Time) (blocked []Subject) {
+	return t.RecordCrashAt(Beginning, subjects, target, sent, now)
+}
+
+// RecordCrashAt is RecordCrash at a stage of the request. All that a target has at another stage than
+// the beginning is suspect alike when it crashes, so it takes more to tell.
+func (t *Tracker) RecordCrashAt(stage Stage, subjects []Subject, target TargetKey, sent, now time.Time) (blocked []Subject) {
+	return t.recordCrash(subjects, target, crash{sent: sent, at: now, stage: stage}, now)
+}
+
+func (t *Tracker) recordCrash(subjects []Subject, target TargetKey, c crash, now time.Time) (blocked []Subject) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, s := range subjects {
-		if t.addCrash(s, target, crash{sent: sent, at: now}, now) {
+		if t.addCrash(s, target, c, now) {
 			blocked = append(blocked, s)
 		}
 	}
 	return blocked
 }
 
-// RecordSound records that a target ran well on a request with the subjects, which clears them:
-// its response is complete, or far beyond its beginning. It returns those that were blocked.
+// RecordSound records that a target completed a response to a request with the subjects, which clears
+// them. It returns those that were blocked.
 func (t *Tracker) RecordSound(subjects []Subject, now time.Time) (unblocked []Subject) {
+	t.completed.record(subjects, now)
+	return t.recordSound(subjects, true, now)
+}
+
+// RecordProgress records that a target is beyond the beginning of a response to a request with the
+// subjects, and still runs well. This clears them of crashes at the beginning. It returns those that
+// were blocked.
+func (t *Tracker) RecordProgress(subjects []Subject, now time.Time) (unblocked []Subject) {
+	return t.recordSound(subjects, false, now)
+}
+
+func (t *Tracker) recordSound(subjects []Subject, completed bool, now time.Time) (unblocked []Subject) {
 	t.sound.record(subjects, now)
 	if t.Empty() {
 		return nil
@@ -83,17 +137,18 @@
 		if r == nil || len(r.crashes) == 0 {
 			continue
 		}
-		if r.count(now) >= CrashesToBlock {
+		before := r.count(now)
+		r.clear(now, completed, now)
+		if before >= CrashesToBlock && r.count(now) < CrashesToBlock {
 			unblocked = append(unblocked, p)
 		}
-		r.clear(now, now)
 	}
 	return unblocked
 }
 
-// Blocked returns the first subject that crashes targets, if there is one. One all of
-// whose crashes had another such subject as well, which is not among these, is not blocked:
-// that one may be the cause, and the response to this request tells.
+// Blocked returns the first subject that crashes targets, if there is one. One all of whose crashes had
+// another such subject as well, which is not among these, is not: that one may be the cause. Admit also
+// says whether a trial may be made.
 func (t *Tracker) Blocked(subjects []Subject, now time.Time) (Subject, bool) {
 	return t.firstWith(subjects, CrashesToBlock, now)
 }
@@ -174,7 +229,10 @@
 	}
 	r := t.recordOf(s, now)
 	if sound := t.sound.last(s); sound.After(r.clearedAt) {
-		r.clear(sound, now)
+		r.clear(sound, false, now)
+	}
+	if completed := t.completed.last(s); completed.After(r.completedAt) {
+		r.clear(completed, true, now)
 	}
 	if r.clears(c) {
 		// Peers that count the crash learn so that it is void.
@@ -182,15 +240,19 @@
 		return false
 	}
 	last, known := r.crashes[target]
-	if known && c.at.Sub(last.at) <= maxReportDelay {
+	if known && !c.stage.tellsMore(last.stage) && c.at.Sub(last.at) <= maxReportDelay {
 		return false
 	}
 	before := r.count(now)
+	c.learnedAt = now
+	if c.round == 0 {
+		c.round = r.roundOf(c.sent, now)
+	}
 	if !known && len(r.crashes) >= maxCrashes {
 		r.dropOldest()
 	}
 	r.crashes[target] = c
-	if !known {
+	if !known || last.stage != c.stage {
 		r.changedAt = now
 	}
 	return before < CrashesToBlock && r.count(now) >= CrashesToBlock
--- a/defect/tracker_test.go
+++ b/defect/tracker_test.go
@@ -86,9 +86,9 @@
 // TestAbsurdReports checks that reports that can't be true or are too many do no harm.
 func TestAbsurdReports(t *testing.T) {
 	tests := map[string]Report{
-		"in the future": {Subject: Part(1), ClearedAge: -1, Crashes: []Crash{{1, -time.Hour, -time.Hour}, {2, -time.Hour, -time.Hour}, {3, -time.Hour, -time.Hour}}},
-		"too old":       {Subject: Part(1), ClearedAge: -1, Crashes: []Crash{{1, time.Hour, time.Hour}, {2, time.Hour, time.Hour}, {3, time.Hour, time.Hour}}},
-		"cleared since": {Subject: Part(1), ClearedAge: 0, Crashes: []Crash{{1, time.Second, time.Second}, {2, time.Second, time.Second}, {3, time.Second, time.Second}}},
+		"in the future": {Subject: Part(1), ClearedAge: -1, CompletedAge: -1, Crashes: []Crash{{1, -time.Hour, -time.Hour, Beginning, 0}, {2, -time.Hour, -time.Hour, Beginning, 0}, {3, -time.Hour, -time.Hour, Beginning, 0}}},
+		"too old":       {Subject: Part(1), ClearedAge: -1, CompletedAge: -1, Crashes: []Crash{{1, time.Hour, time.Hour, Beginning, 0}, {2, time.Hour, time.Hour, Beginning, 0}, {3, time.Hour, time.Hour, Beginning, 0}}},
+		"cleared since": {Subject: Part(1), ClearedAge: 0, Crashes: []Crash{{1, time.Second, time.Second, Beginning, 0}, {2, time.Second, time.Second, Beginning, 0}, {3, time.Second, time.Second, Beginning, 0}}},
 	}
 	for name, r := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -101,7 +101,7 @@
 	t.Run("many", func(t *testing.T) {
 		tr := NewTracker()
 		for i := range 3 * maxSubjects {
-			r := Report{Subject: Part(i + 10), ClearedAge: -1, Crashes: []Crash{{TargetKey(i), 0, 0}}}
+			r := Report{Subject: Part(i + 10), ClearedAge: -1, CompletedAge: -1, Crashes: []Crash{{TargetKey(i), 0, 0, Beginning, 0}}}
 			tr.RecordFromPeer([]Report{r}, after(time.Duration(i)))
 		}
 		require.LessOrEqual(t, len(tr.records), maxSubjects)
