logbook: what crashes targets outlasts a restart of all routers

Cause, class: state that was learnt at the cost of crashes was held in the memory of processes that can all be lost at once. Confirmed: a kill of all broke the rule with every kind of crash, no other fault did.

The store now has a row for each subject that came again after a crash, or that more than three targets had as they crashed: keys and ages, no content. A router that starts reads the rows before it serves, or is told by a peer that has; after 5 s with a routing table and neither it serves.

More than three such crashes now count once no target has run well on the part for 1.5 s, and are kept from the start.

--- a/cmd/router/gateway/catch_up.go
+++ b/cmd/router/gateway/catch_up.go
@@ -97,6 +97,9 @@
 	found[reply.From] = address
 	g.peers.add(found)
 	g.handleDefects(reply.From, reply.Defects)
+	if reply.DefectsComplete {
+		g.logbook.SetKnown()
+	}
 	g.applyPeerEvacuations(reply)
 	g.applyPeerTable(reply, "peer "+address.String())
 	if registryRevision(reply).After(current.registry) {
--- a/cmd/router/gateway/defects.go
+++ b/cmd/router/gateway/defects.go
@@ -115,6 +115,7 @@
 	meter.CountBy("defect_evidence", "service", t.service, "begun", strconv.FormatBool(begun))
 	t.logCrash("suspect", begun, cause, subjects)
 	t.g.logBlocked(t.g.defects.RecordCrashAt(stage, subjects, defect.TargetKey(u.key), t.sentAt, now), "own", now)
+	t.g.logbook.Changed(t.g.defects.KeptOf(subjects, now))
 	t.g.peers.announce()
 	if t.g.defects.MayResend(subjects, now) {
 		return true
@@ -184,6 +185,7 @@
 		t.g.log.Info("what seemed to crash targets was answered; no longer rejected", "subject", describeSubject(s), "request", t.req.ID())
 	}
 	if len(unblocked) > 0 {
+		t.g.logbook.Changed(unblocked)
 		t.g.peers.announce()
 	}
 }
@@ -239,4 +241,7 @@
 	now := g.clock.Now()
 	blocked := g.defects.RecordFromPeer(logbook.FromProto(reports), now)
 	g.logBlocked(blocked, from, now)
+	if g.writesToStore() {
+		g.logbook.Changed(blocked)
+	}
 }
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"vanillalug.example/amendment"
 	"vanillalug.example/capacity"
 	"vanillalug.example/cmd/router/channel"
+	"vanillalug.example/cmd/router/logbook"
 	"vanillalug.example/crew"
 	"vanillalug.example/defect"
 	"vanillalug.example/delivery"
@@ -71,7 +72,9 @@
 	// failureReports are failures at targets, seen by this router or its peers.
 	failureReports *fitting.FailureReports
 	// defects has the parts of prompts that crash targets.
-	defects     *defect.Tracker
+	defects *defect.Tracker
+	// logbook keeps that in the store.
+	logbook     *logbook.Keeper
 	retryBudget *allowance.WindowBudget
 	// limits has the requests a second that targets take from all routers together.
 	limits *quota.Table
@@ -221,6 +224,7 @@
 	for _, opt := range opts {
 		opt(g)
 	}
+	g.logbook = logbook.New(clock, log, store, g.defects, g.writesToStore)
 	g.startedAt = clock.Now()
 	g.copySources.Store(&map[string][]copySource{})
 	g.upstreams.Store(newUpstreamSet())
@@ -240,6 +244,7 @@
 	go g.watchers.table.run(ctx)
 	go g.watchers.registry.run(ctx)
 	go g.keepRegistered(ctx)
+	go g.logbook.Run(ctx, g.storeEpoch.Load)
 	go g.keepVersionsStored(ctx)
 	go g.keepRecordsStored(ctx)
 	go g.catchUp(ctx)
--- a/cmd/router/gateway/peer_server.go
+++ b/cmd/router/gateway/peer_server.go
@@ -13,6 +13,7 @@
 // versions in the request, or placements if the peer asks for them.
 func (g *Gateway) GetBeliefs(_ context.Context, r *peer.GetBeliefsRequest) (*peer.GetBeliefsReply, error) {
 	reply := &peer.GetBeliefsReply{From: g.cfg.Name, Defects: logbook.ToProto(g.defects.Reports(g.clock.Now()))}
+	reply.DefectsComplete = g.logbook.Known()
 	if r.From != nil {
 		g.peers.add(g.routerAddresses([]*peer.RouterAddress{r.From}))
 	}
--- a/cmd/router/gateway/store_epoch.go
+++ b/cmd/router/gateway/store_epoch.go
@@ -56,10 +56,11 @@
 	return !g.watchers.table.knownRevision().IsZero() || !g.watchers.registry.knownRevision().IsZero()
 }
 
-// mayServe reports whether a router that has started knows what is evacuated, and has asked its
+// mayServe reports whether a router that has started knows what is evacuated and what crashes targets,
+// and has asked its
 // peers for what a restored store may lack. It needn't if the store was never restored.
 func (g *Gateway) mayServe() bool {
-	return g.knowsEvacuations() && (g.storeEpoch.Load() == 0 || g.consulted.Load())
+	return g.knowsEvacuations() && g.logbook.Known() && (g.storeEpoch.Load() == 0 || g.consulted.Load())
 }
 
 // consultPeers asks peers, when this router starts, for a newer routing table than
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -227,6 +227,9 @@
 	g.logCold(now)
 	g.reportSlowTargets(now)
 	g.reportDefects(now)
+	if g.table.Load() != nil {
+		g.logbook.LimitWait(now)
+	}
 	upstreams := g.upstreams.Load()
 	g.forgetLimits(g.targetStates.expire(upstreams.byIncarnation, now), now)
 	g.detours.Retain(func(service string) bool { return len(upstreams.byService[service]) > 0 })
--- a/cmd/router/gateway/where_test.go
+++ b/cmd/router/gateway/where_test.go
@@ -51,6 +51,7 @@
 		Name: "r1", Place: "a", PeerAddress: "127.0.0.1:1", RetryRatio: 1, RetryExtra: 10, RetryWindow: 10 * time.Second,
 	}, clock, hclog.NewNullLogger(), nil, nil)
 	g.evacuations.known.Store(true)
+	g.logbook.SetKnown()
 	o := &offlineRouter{t: t, g: g, clock: clock, revision: 10}
 	table := routes()
 	table[0].ColdSeconds, table[0].ColdRate = 60, 4
--- a/cmd/soak/crashes/callers_test.go
+++ b/cmd/soak/crashes/callers_test.go
@@ -45,7 +45,7 @@
 func (c *callers) send(prefix string, parts ...string) bool {
 	n := c.number.Add(1)
 	router := c.routers[n%int64(len(c.routers))]
-	r, err := http.NewRequest(http.MethodPost, "http://"+router.Entry()+"/stream/x", nil)
+	r, err := http.NewRequest(http.MethodPost, "http://"+router.Entry()+"/stream/"+strconv.FormatInt(n, 10), nil)
 	if err != nil {
 		return false
 	}
--- a/cmd/soak/crashes/deadly_part_test.go
+++ b/cmd/soak/crashes/deadly_part_test.go
@@ -65,7 +65,7 @@
 		Prefix: "/stream/", Kind: platformtest.Streaming, Service: service, Attempts: 2, TimeoutMS: 4000, Resumable: true, Engine: true,
 	}))
 	s.engines = startEngines(t, s.store, 9, kind)
-	dir := t.TempDir()
+	dir := logFolder(t)
 	for i := range routers {
 		r, err := fleet.NewRouter(router, dir, fmt.Sprintf("r%d", i), "a", s.store.Address())
 		require.NoError(t, err)
@@ -81,6 +81,16 @@
 	return s
 }
 
+// logFolder returns the folder for the settings and logs of the routers. VANILLALUG_LOGS keeps them.
+func logFolder(t *testing.T) string {
+	if os.Getenv("VANILLALUG_LOGS") == "" {
+		return t.TempDir()
+	}
+	dir := filepath.Join(os.Getenv("VANILLALUG_LOGS"), filepath.Base(t.Name()))
+	require.NoError(t, os.MkdirAll(dir, 0o700))
+	return dir
+}
+
 // killAll kills all routers; they start again by themselves.
 func (s *scene) killAll(t *testing.T) {
 	for _, r := range s.routers {
--- a/cmd/soak/fleet/two_builds_test.go
+++ b/cmd/soak/fleet/two_builds_test.go
@@ -12,7 +12,7 @@
 
 // previousBuild is the commit of the build that may run beside today's during an upgrade: the last
 // one before this release.
-const previousBuild = "5660660"
+const previousBuild = "5882e90"
 
 // buildPrevious builds the router of the previous build, from the history of this repository.
 func buildPrevious(t *testing.T, dir string) string {
--- a/defect/record.go
+++ b/defect/record.go
@@ -89,23 +89,37 @@
 
 // count returns the number of crashes that still count. A target that crashes as it begins to
 // respond tells by itself that a part of the prompt is suspect. Of crashes at another stage, and of
-// those on a whole request, only what comes again after them does.
+// those on a whole request, only what comes again after them does; or, before the head, more at once
+// than block a part otherwise, if no target has run well on it by the time that one would have.
 func (r *record) count(now time.Time) int {
 	_, whole := r.subject.(Request)
-	beginning := 0
+	beginning, waiting := 0, 0
 	var repeated []crash
 	for _, c := range r.crashes {
-		switch {
-		case !c.counts(now):
-		case whole || c.stage != Beginning:
-			repeated = append(repeated, c)
-		default:
+		if !c.counts(now) {
+			continue
+		}
+		if c.stage == Beginning && !whole {
 			beginning++
+			continue
+		}
+		if c.stage == Waiting && !whole && now.Sub(c.at) >= unansweredTime {
+			waiting++
 		}
+		repeated = append(repeated, c)
+	}
+	if waiting > CrashesToBlock {
+		return beginning + len(repeated)
 	}
 	return beginning + countRepeated(repeated)
 }
 
+// worthKeeping reports whether the evidence is kept beyond a restart of all routers: that of a subject
+// that comes again, or that may be found to crash targets before it does.
+func (r *record) worthKeeping(now time.Time) bool {
+	return r.count(now) >= crashesToKeep || len(r.counted(now)) > CrashesToBlock
+}
+
 // countRepeated returns the number of crashes that count if what crashed came again after them.
 func countRepeated(crashes []crash) int {
 	n := rounds(crashes)
--- a/defect/report.go
+++ b/defect/report.go
@@ -119,7 +119,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.records[s]
-	if r == nil || r.count(now) < crashesToKeep {
+	if r == nil || !r.worthKeeping(now) {
 		return Report{}, false
 	}
 	return r.report(now), true
--- a/defect/stage_test.go
+++ b/defect/stage_test.go
@@ -33,7 +33,10 @@
 		blocked bool
 	}{
 		"head lost, again and again":              {again(Waiting), true},
-		"head lost, at once":                      {atOnce(Waiting), false},
+		"head lost, at once, no response since":   {atOnce(Waiting), true},
+		"head lost, at once, others ran well":     {append(atOnce(Waiting), progress(9)), false},
+		"head lost, at once, ran well before":     {append([]func(*Tracker){progress(7)}, atOnce(Waiting)...), true},
+		"head lost, at once, few":                 {atOnce(Waiting)[:3], false},
 		"head lost, at once, and one more":        {append(atOnce(Waiting), crash(Waiting, 5, 9, 10)), true},
 		"head lost, ran well since":               {append(again(Waiting), progress(9)), false},
 		"late, again and again":                   {again(Running), true},
@@ -72,6 +75,9 @@
 	}
 	_, blocked := tr.Blocked([]Subject{part}, after(time.Second))
 	require.False(t, blocked)
+	tr.RecordProgress([]Subject{part}, after(time.Second))
+	_, blocked = tr.Blocked([]Subject{part}, after(3*time.Second))
+	require.False(t, blocked)
 }
 
 // TestDeadlyPartIsAmongNews guards against a message to peers that has no room for the part that crashes
--- a/defect/tracker.go
+++ b/defect/tracker.go
@@ -26,6 +26,9 @@
 	evictedFraction = 4
 	// maxCrashes bounds the evidence about one subject.
 	maxCrashes = 64
+	// unansweredTime is within which a sound part that many targets had as they crashed has run well
+	// at another one, and the routers know it.
+	unansweredTime = soundTime + maxReportDelay/2
 	// maxRound bounds what a peer may state of how often a subject came.
 	maxRound = 64
 	// maxReportDelay is how long a report may be on its way: by so much a crash seems
@@ -65,7 +68,7 @@
 	defer t.mu.Unlock()
 	var out []Subject
 	for s, r := range t.records {
-		if r.count(now) >= crashesToKeep {
+		if r.worthKeeping(now) {
 			out = append(out, s)
 		}
 	}
@@ -78,7 +81,7 @@
 	defer t.mu.Unlock()
 	var out []Subject
 	for _, s := range subjects {
-		if r := t.records[s]; r != nil && r.count(now) >= crashesToKeep {
+		if r := t.records[s]; r != nil && r.worthKeeping(now) {
 			out = append(out, s)
 		}
 	}
