reception: one check of response heads for all connections

On the platform's path a field name with a blank, a blank before the colon of Content-Length or Transfer-Encoding (the body then is not what the target framed), a folded line, a length twice or beside chunks, the statuses 101, 600 and 999, and a malformed interim response passed as 200 or were passed on, directly and through a peer that relays; status 000 and 099 were held there. At our own interface all of these passed in calls to services, 000 and 099 as well, as they do in what the clients of the store, of peers and of reports read.

Cause: net/http accepts lines that other programs read in another way, and each reader relied on it. Now HeadCheck sees the bytes of each head before they are parsed: status 100 to 599 and no upgrade, names that are tokens, values without control bytes, one length at most, interim heads too. The raw connections to targets and peers have it for each response; connections of httpc for their first, whose start can be told, and what was parsed is checked for later ones: there net/http itself prefers chunks to a length.

--- a/cmd/router/channel/conn.go
+++ b/cmd/router/channel/conn.go
@@ -39,17 +39,21 @@
 
 // ReadResponse reads the head of the next response and skips up to maxInterim
 // interim ones. Its body is read from the connection. What the heads need is charged with hold, which
-// may be nil. It returns a *HeadTooLargeError if the heads don't end, and a *NoRoomError if there is no
-// memory for them.
+// may be nil. It returns a *HeadTooLargeError if the heads don't end, a *NoRoomError if there is no
+// memory for them, and a *reception.MalformedHeadError if they are none.
 func (c *Conn) ReadResponse(method string, hold HoldFunc) (*http.Response, error) {
-	c.limit.set(maxHeadBytes, hold)
+	before, _ := c.reader.Peek(c.reader.Buffered())
+	err := c.limit.set(maxHeadBytes, hold, before)
 	defer c.limit.lift()
+	if err != nil {
+		return nil, fmt.Errorf("Conn.ReadResponse: %w", err)
+	}
 	for range maxInterim {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, fmt.Errorf("Conn.ReadResponse: %w", err)
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
--- a/cmd/router/channel/read_limit.go
+++ b/cmd/router/channel/read_limit.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+
+	"vanillalug.example/reception"
 )
 
 // HeadTooLargeError says that the head of a response is longer than a limit.
@@ -32,9 +34,16 @@
 	limit int // 0 is no limit
 	left  int
 	hold  HoldFunc // nil if nothing is charged
+	// check checks the head that is awaited.
+	check reception.HeadCheck
 }
 
-func (r *readLimit) set(limit int, hold HoldFunc) { r.limit, r.left, r.hold = limit, limit, hold }
+// set begins a head, of which the bytes that were read before are given.
+func (r *readLimit) set(limit int, hold HoldFunc, before []byte) error {
+	r.limit, r.left, r.hold = limit, limit, hold
+	r.check = reception.HeadCheck{}
+	return r.check.Feed(before)
+}
 
 func (r *readLimit) lift() { r.limit, r.hold = 0, nil }
 
@@ -47,6 +56,9 @@
 	}
 	n, err := r.in.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if malformed := r.check.Feed(p[:n]); malformed != nil {
+		return 0, malformed
+	}
 	if read := r.limit - r.left; r.hold != nil && read > freeHeadBytes && !r.hold(read) {
 		return 0, &NoRoomError{}
 	}
--- a/reception/client.go
+++ b/reception/client.go
@@ -103,12 +103,16 @@
 }
 
 // DoRequest sends a request and returns the response. If reading its body fails, the
-// error is an *IncompleteBodyError.
+// error is an *IncompleteBodyError; if the response is none, a *MalformedHeadError.
 func (c *Client) DoRequest(r *http.Request) (*http.Response, error) {
 	resp, err := c.service.DoRequest(r)
 	if err != nil {
 		return nil, err
 	}
+	if err := checkResponse(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
 	resp.Body = newResponseBody(r.Context(), resp, c.maxBody)
 	return resp, nil
 }
@@ -128,9 +132,13 @@
 		if err == nil {
 			c, err = checkConnected(ctx, c)
 		}
-		if err != nil || o.count == nil {
+		if err != nil {
 			return c, err
 		}
+		c = &checkedConn{Conn: c}
+		if o.count == nil {
+			return c, nil
+		}
 		return &countedConn{Conn: c, count: o.count}, nil
 	}
 }
