channel, reception: a body that ends with its connection is whole only if the request was written

Cause: the kernel gives the error of the reset to whoever asks first. The goroutine that writes the upload took it, and the reader saw a plain end. Now a body without length and chunks is whole only if the connection ended without an error and the request had been written in full, whoever saw the error: the writing ends when the reader sees the end, and its result decides. The same holds for requests to peers and for all clients of httpc, by the trace of the request.

A body that ends with its connection after the request was written is whole as before (TestBodyThatEndsWithConnection).

--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -16,9 +15,6 @@
 )
 
 const (
-	// maxInlineBody is the largest body that is written before the response is
-	// read, in bytes; it fits the socket buffers, so that writing can't block.
-	maxInlineBody = 4 << 10
 	// maxStrayResponses is how many responses to other requests are skipped.
 	maxStrayResponses = 2
 	maxStrayBytes     = 1 << 20
@@ -54,11 +50,19 @@
 	stopWatch func() bool
 }
 
-// endsWithConn reports whether the body has neither a length nor chunks.
-func (o responded) endsWithConn() bool {
-	return o.response.ContentLength < 0 && len(o.response.TransferEncoding) == 0
+// newResponded returns the outcome for a response whose head was read, while the request may still be
+// being written.
+func newResponded(conn *channel.Conn, response *http.Response, written *channel.RequestWrite, stopWatch func() bool) responded {
+	o := responded{conn: conn, response: response, meta: platform.ReadResponse(response), stopWatch: stopWatch}
+	if o.endsWithConn() {
+		response.Body = reception.NewConnBody(response.Body, written.End)
+	}
+	return o
 }
 
+// endsWithConn reports whether the body has neither a length nor chunks.
+func (o responded) endsWithConn() bool { return reception.EndsWithConn(o.response) }
+
 func (notSent) outcome()    {}
 func (notRun) outcome()     {}
 func (noResponse) outcome() {}
@@ -89,7 +93,7 @@
 	// writes. Closing the connection then cancels the target's work.
 	stopWatch := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	t.attempts++
-	writeDone, err := t.write(conn, u)
+	written, err := t.write(conn, u)
 	if err != nil {
 		stopWatch()
 		conn.Discard()
@@ -103,9 +107,9 @@
 		t.detectDroppedConn(conn, now, err)
 		return noResponse{cause: err}
 	}
-	o := responded{conn: conn, response: response, meta: platform.ReadResponse(response), stopWatch: stopWatch}
+	o := newResponded(conn, response, written, stopWatch)
 	bound := t.req.ID() != "" && o.meta.ID() == t.req.ID()
-	o.reusable = bound && !stray && !response.Close && writeCompleted(writeDone)
+	o.reusable = bound && !stray && !response.Close && written.Completed()
 	t.observeHead(o.meta)
 	if o.meta.NotRun() && !bound {
 		// It may have been written before the request was read.
@@ -160,29 +164,16 @@
 	return max(s.MaxConns()/t.g.routerCount(), 2)
 }
 
-// write sends the head and the body. A long body is written in a goroutine, as
-// the target may respond before it has read the body.
-func (t *transaction) write(conn *channel.Conn, u *upstream) (<-chan error, error) {
-	done := make(chan error, 1)
-	head := t.req.Head(platform.UpstreamAttempt{
+// write sends the head and the body.
+func (t *transaction) write(conn *channel.Conn, u *upstream) (*channel.RequestWrite, error) {
+	return conn.WriteRequest(t.req.Head(platform.UpstreamAttempt{
 		Target:      u.target.ID(),
 		Timeout:     t.deadline.Sub(t.g.clock.Now()),
 		Workspace:   t.workspace,
 		LastEventID: t.lastEventID,
 		Priority:    t.enginePriority(),
 		CopyFrom:    t.copyFrom,
-	}, len(t.body))
-	buffers := net.Buffers{head, t.body}
-	if len(t.body) <= maxInlineBody {
-		_, err := buffers.WriteTo(conn.Conn)
-		done <- err
-		return done, err
-	}
-	go func() {
-		_, err := buffers.WriteTo(conn.Conn)
-		done <- err
-	}()
-	return done, nil
+	}, len(t.body)), t.body)
 }
 
 // enginePriority returns the priority sent to an engine, 0 being the most urgent,
@@ -197,15 +188,6 @@
 // lowestEnginePriority is the least urgent priority of an engine.
 const lowestEnginePriority = 9
 
-func writeCompleted(writeDone <-chan error) bool {
-	select {
-	case err := <-writeDone:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // readResponseHead reads the head of the response to this request. It skips
 // responses to other requests; then stray is true and the connection must not be
 // reused.
--- a/cmd/router/gateway/relay.go
+++ b/cmd/router/gateway/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -116,12 +115,13 @@
 		return notSent{cause: err}
 	}
 	stopWatch := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	writeDone := make(chan error, 1)
-	go func() {
-		buffers := net.Buffers{t.relayHead(), t.body}
-		_, err := buffers.WriteTo(conn.Conn)
-		writeDone <- err
-	}()
+	written, err := conn.WriteRequest(t.relayHead(), t.body)
+	if err != nil {
+		stopWatch()
+		conn.Discard()
+		t.attempts++
+		return noResponse{cause: err}
+	}
 	response, err := t.readHead(conn) //nolint:bodyclose // releaseConn closes the connection that the body is read from
 	if err != nil {
 		stopWatch()
@@ -129,7 +129,7 @@
 		t.attempts++
 		return noResponse{cause: err}
 	}
-	return responded{conn: conn, response: response, meta: platform.ReadResponse(response), stopWatch: stopWatch}
+	return newResponded(conn, response, written, stopWatch)
 }
 
 // relayHead returns the head of the request to a peer.
--- a/reception/client.go
+++ b/reception/client.go
@@ -105,7 +105,8 @@
 // DoRequest sends a request and returns the response. If reading its body fails, the
 // error is an *IncompleteBodyError; if the response is none, a *MalformedHeadError.
 func (c *Client) DoRequest(r *http.Request) (*http.Response, error) {
-	resp, err := c.service.DoRequest(r)
+	ctx, written := traceWrite(r.Context())
+	resp, err := c.service.DoRequest(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
@@ -113,6 +114,9 @@
 		_ = resp.Body.Close()
 		return nil, err
 	}
+	if EndsWithConn(resp) {
+		resp.Body = NewConnBody(resp.Body, written.Load)
+	}
 	resp.Body = newResponseBody(r.Context(), resp, c.maxBody)
 	return resp, nil
 }
