gateway: once a stream has begun, nothing but events of a stream or a break reaches the caller

Cause: a body too long for the buffer is streamed to the caller, whether or not a response has begun; and a plain 200 was read as events. Now a response that goes on with a stream must be a 200 of the content type that began it; anything else is dropped unread, another target is tried within the limits, and else the stream breaks off. The same for what a peer relays.

--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -19,10 +19,13 @@
 // another target may be tried instead.
 func (t *transaction) handleResponse(ctx context.Context, u *upstream, o responded, onFirstEvent func()) bool {
 	t.mayHaveRun = true
-	if t.route.Kind() == plan.Streaming && o.meta.Status() == http.StatusOK {
+	if t.mayStream(o) {
 		return t.streamEvents(ctx, u, o, onFirstEvent)
 	}
 	onFirstEvent()
+	if t.responseStarted {
+		return t.handleNoStream(u, o)
+	}
 	body, whole, err := t.bufferResponse(o.response)
 	if !whole {
 		t.streamBody(o, body)
@@ -47,10 +50,6 @@
 			t.recordSound()
 		}
 	}
-	if t.responseStarted {
-		t.detail = "status " + strconv.Itoa(o.meta.Status())
-		t.abort("target failed", nil)
-	}
 	if o.meta.ImpliesNotRun() {
 		// Callers take this status to mean that the request was not executed,
 		// which the target did not state.
@@ -62,6 +61,44 @@
 	return false
 }
 
+// mayStream reports whether the body of a response is forwarded as events: one that goes on with a stream
+// must be of the type that began it.
+func (t *transaction) mayStream(o responded) bool {
+	if t.route.Kind() != plan.Streaming || o.meta.Status() != http.StatusOK {
+		return false
+	}
+	return !t.responseStarted || o.response.Header.Get("Content-Type") == t.streamType
+}
+
+// handleNoStream handles a response that is no stream when one has begun: nothing of it may reach the
+// caller. It returns true if another target may be tried.
+func (t *transaction) handleNoStream(u *upstream, o responded) bool {
+	if o.meta.Status() >= http.StatusInternalServerError {
+		t.recordFailure(u, responseFailureWeight)
+	}
+	if t.route.Retryable() && t.mayRetry() {
+		t.dropResponse(o)
+		t.detail = "status " + strconv.Itoa(o.meta.Status())
+		t.logAttempt("target failed", nil)
+		return true
+	}
+	t.breakOff(o, "target failed")
+	return false
+}
+
+// breakOff ends a stream that has begun, as the response that should go on with it is none.
+func (t *transaction) breakOff(o responded, reason string) {
+	t.dropResponse(o)
+	t.detail = "status " + strconv.Itoa(o.meta.Status())
+	t.abort(reason, nil)
+}
+
+// dropResponse closes the connection of a response whose body isn't read.
+func (t *transaction) dropResponse(o responded) {
+	o.stopWatch()
+	o.conn.Discard()
+}
+
 // writeResponse sends a buffered response to the caller.
 func (t *transaction) writeResponse(o responded, body []byte) {
 	t.dropBody()
--- a/cmd/router/gateway/relay.go
+++ b/cmd/router/gateway/relay.go
@@ -11,7 +11,6 @@
 	"vanillalug.example/cmd/router/channel"
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/detour"
-	"vanillalug.example/plan"
 	"vanillalug.example/platform"
 )
 
@@ -160,9 +159,12 @@
 		return true
 	}
 	t.attempts++
-	if t.route.Kind() == plan.Streaming && o.meta.Status() == http.StatusOK {
+	if t.mayStream(o) {
 		return t.relayEvents(o)
 	}
+	if t.responseStarted {
+		t.breakOff(o, "peer rejected the request")
+	}
 	body, whole, err := t.bufferResponse(o.response)
 	if !whole {
 		t.countRelay("answered")
@@ -174,7 +176,7 @@
 		return t.handleRelayBroken("no answer", fmt.Errorf("body: %w", err))
 	}
 	t.countRelay("answered")
-	if t.responseStarted || t.mayHaveRun && o.meta.ImpliesNotRun() {
+	if t.mayHaveRun && o.meta.ImpliesNotRun() {
 		t.fail(&rejection{status: http.StatusBadGateway, reason: "peer rejected the request, status " + strconv.Itoa(o.meta.Status())})
 		return false
 	}
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -61,6 +61,7 @@
 		return
 	}
 	t.responseStarted = true
+	t.streamType = o.response.Header.Get("Content-Type")
 	meter.ObserveBy("first_event", t.elapsed(), "workspace", t.workspace, "kind", t.route.Kind().String())
 	t.copyHeaders(o)
 	t.w.WriteHeader(o.meta.Status())
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -83,6 +83,8 @@
 	// responseStarted says that the head of a target's response was sent to the
 	// caller.
 	responseStarted bool
+	// streamType is the content type of the stream that has begun.
+	streamType string
 	// completed says that a target completed the request.
 	completed bool
 	// room is what the request needs at the chosen target.
