gateway: a request that waited for a connection is checked again for what crashes targets

Now the router asks again right before it sends. TestRequestThatWaitsIsBlocked fails without the second check (200 instead of 503) and passes.

--- a/cmd/router/gateway/defects.go
+++ b/cmd/router/gateway/defects.go
@@ -77,6 +77,15 @@
 	return nil
 }
 
+// blockedMeanwhile reports whether the request was found to crash targets since one was chosen for it.
+func (t *transaction) blockedMeanwhile() bool {
+	if t.g.defects.Empty() || t.trialBegun {
+		return false
+	}
+	_, blocked := t.g.defects.Blocked(t.subjects(), t.g.clock.Now())
+	return blocked
+}
+
 // defectRejection returns the rejection of a request with a subject that crashes targets. Callers get a
 // time to retry after only if it may be served then.
 func (t *transaction) defectRejection(r defect.Rejected, now time.Time) *rejection {
--- a/cmd/router/gateway/defects_test.go
+++ b/cmd/router/gateway/defects_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,6 +11,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillalug.example/cmd/router/channel"
+	"vanillalug.example/defect"
+	"vanillalug.example/fitting"
 	"vanillalug.example/platform/platformtest"
 )
 
@@ -139,3 +144,35 @@
 		})
 	}
 }
+
+// TestRequestThatWaitsIsBlocked guards against a request that waits for a connection being sent after its
+// prompt part was found to crash targets.
+func TestRequestThatWaitsIsBlocked(t *testing.T) {
+	dialing, dial := make(chan struct{}, 1), make(chan struct{})
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	store.PutJSON("op", "config", platformtest.RoutingTable(1, []string{testKey}, routes()...))
+	tr := newTestRouterWith(t, store, "r1", []Option{WithTargetDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		dialing <- struct{}{}
+		<-dial
+		return channel.Dial(context.WithoutCancel(ctx), address)
+	})})
+	engines := tr.addTargets(promptService, "e1")
+	tr.waitReady(1)
+	done := make(chan callerResponse)
+	go func() {
+		done <- tr.send(http.MethodPost, "/prompt/x", "waits", nil, withParts("waits", commonPart, deadlyPart))
+	}()
+	<-dialing
+	key, err := strconv.ParseUint(deadlyPart, 16, 64)
+	require.NoError(t, err)
+	part := []defect.Subject{defect.Part(fitting.PromptKey("m", key))}
+	for target := range defect.TargetKey(defect.CrashesToBlock) {
+		tr.g.defects.RecordCrash(part, target, time.Now(), time.Now())
+	}
+	close(dial)
+	w := <-done
+	require.NoError(t, w.err)
+	require.Equal(t, statusDefect, w.status, w.body)
+	require.Zero(t, countExecutions("waits", engines))
+}
--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -82,8 +82,8 @@
 	if !t.checkEvacuation(u, conn) {
 		return evacuatedMeanwhile{}
 	}
-	if !t.checkStopping(conn) {
-		return stoppingMeanwhile{}
+	if !t.checkRefusal(conn) {
+		return refusedMeanwhile{}
 	}
 	if t.permitExpired(t.g.clock.Now()) {
 		t.keepUnused(conn)
--- a/cmd/router/gateway/relay.go
+++ b/cmd/router/gateway/relay.go
@@ -98,7 +98,7 @@
 	t.mayHaveRun = true
 	t.countRelay(outcome)
 	t.logAttempt(outcome, cause)
-	if t.route.Retryable() && t.mayRetry() {
+	if t.route.Retryable() && t.g.defects.MayResend(t.subjects(), t.g.clock.Now()) && t.mayRetry() {
 		return true
 	}
 	t.fail(&rejection{status: http.StatusBadGateway, reason: "peer gave no answer", cause: cause})
--- a/cmd/router/gateway/stopping.go
+++ b/cmd/router/gateway/stopping.go
@@ -77,16 +77,16 @@
 	return &rejection{status: http.StatusServiceUnavailable, reason: "router is shutting down", retryAfter: stoppingRetryAfter}
 }
 
-// stoppingMeanwhile means that the router stops before the request can end, as it has waited for a
-// connection. No byte was sent.
-type stoppingMeanwhile struct{}
+// refusedMeanwhile means that the request has to be refused, as it has waited for a connection: the
+// router stops before it can end, or it was found to crash targets.
+type refusedMeanwhile struct{}
 
-func (stoppingMeanwhile) outcome() {}
+func (refusedMeanwhile) outcome() {}
 
-// checkStopping reports whether the request may still be sent on the connection, which is kept for
+// checkRefusal reports whether the request may still be sent on the connection, which is kept for
 // others otherwise.
-func (t *transaction) checkStopping(conn *channel.Conn) bool {
-	if t.stopsBefore() {
+func (t *transaction) checkRefusal(conn *channel.Conn) bool {
+	if t.stopsBefore() || t.blockedMeanwhile() {
 		t.keepUnused(conn)
 		return false
 	}
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -201,7 +201,7 @@
 		return t.handleEvacuated()
 	case permitUnused:
 		return t.handlePermitUnused(u)
-	case stoppingMeanwhile:
+	case refusedMeanwhile:
 		// It is refused before the next attempt.
 		return true
 	case notRun:
