--- a/cmd/soak/fleet/changes.go
+++ b/cmd/soak/fleet/changes.go
@@ -54,7 +54,9 @@
 	if h.hardLoad {
 		cold.ColdSeconds, cold.ColdRate = coldStart.Seconds(), coldRate
 	}
-	table := append(h.furtherRoutes(v, route), cold,
+	prompts := route("/prompt/", platformtest.Streaming, promptService, false)
+	prompts.Engine = true
+	table := append(h.furtherRoutes(v, route), cold, prompts,
 		route("/safe/", platformtest.Idempotent, plainService, false),
 		route("/once/", platformtest.NonIdempotent, plainService, false),
 		route("/stream/", platformtest.Streaming, engineService, true),
--- a/cmd/soak/fleet/check.go
+++ b/cmd/soak/fleet/check.go
@@ -83,6 +83,7 @@
 	violations = append(violations, h.checkEvacuations(targets, callersStopped)...)
 	if h.hardLoad {
 		violations = append(violations, h.checkCold()...)
+		violations = append(violations, h.checkDeadly()...)
 	}
 	violations = append(violations, checkSoftwareVersions(targets)...)
 	return append(violations, h.checkRemoved()...)
--- a/cmd/soak/fleet/harness.go
+++ b/cmd/soak/fleet/harness.go
@@ -50,6 +50,7 @@
 	evacuated   map[string]bool
 	evacuations []evacuation
 	coldPeriods []coldPeriod
+	deadly      deadlyTraffic
 	// heartbeats are the numbers of the targets' entries.
 	heartbeats map[*platformtest.Target]int
 	// hardLoad is set if all routers know evacuations and cold targets, and bound what they hold for
@@ -77,6 +78,7 @@
 	h := &Harness{
 		CallLog: &CallLog{}, store: platformtest.NewStore(), tracker: &FaultTracker{}, contact: newContact(), evacuated: map[string]bool{},
 		heartbeats: map[*platformtest.Target]int{}, hardLoad: size.OtherBuild == "",
+		deadly:       deadlyTraffic{sends: map[string]deadlySend{}},
 		targetFaults: map[*platformtest.Target]*FaultTracker{},
 		removed:      map[*platformtest.Target]time.Time{}, draining: map[*platformtest.Target]bool{}, start: time.Now(),
 	}
@@ -142,6 +144,11 @@
 	for _, t := range h.all {
 		t.Close()
 	}
+	h.deadly.mu.Lock()
+	defer h.deadly.mu.Unlock()
+	for _, t := range h.deadly.engines {
+		t.Close()
+	}
 }
 
 // AwaitQuiet waits until no fault has been active for d.
--- a/cmd/soak/fleet/run.go
+++ b/cmd/soak/fleet/run.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -28,6 +29,8 @@
 	coldStream = 1<<20 + 4
 	// crowdStream is that of CrowdRouter.
 	crowdStream = 1<<20 + 5
+	// deadlyStream is that of SendDeadlyParts.
+	deadlyStream = 1<<20 + 6
 )
 
 // Report is the result of a run.
@@ -106,7 +109,7 @@
 func (h *Harness) startChanges(seed uint64, length time.Duration) (wait func() error) {
 	end := time.Now().Add(length)
 	var changes sync.WaitGroup
-	var reconfigureErr error
+	var reconfigureErr, deadlyErr error
 	changes.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
 	changes.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
 	changes.Go(func() { h.KillAllRouters(rand.New(rand.NewPCG(seed, killAllStream)), length) })
@@ -115,10 +118,11 @@
 		changes.Go(func() { h.CoolTargets(rand.New(rand.NewPCG(seed, coldStream)), end) })
 		changes.Go(func() { h.violate(h.CrowdRouter(rand.New(rand.NewPCG(seed, crowdStream)), length)...) })
 		changes.Go(func() { h.EvacuatePlaces(rand.New(rand.NewPCG(seed, evacuateStream)), end) })
+		changes.Go(func() { deadlyErr = h.SendDeadlyParts(rand.New(rand.NewPCG(seed, deadlyStream)), end) })
 	}
 	return func() error {
 		changes.Wait()
-		return reconfigureErr
+		return errors.Join(reconfigureErr, deadlyErr)
 	}
 }
 
