office: a chat that crashes engines takes down two at a try and three in all

What callers saw: at our own interface a chat whose engine ends before the first token is started at up to four engines, and so is each repeat of it; with six engines two tries left none for anybody (scenario deadly-chat: the third try gets 'no-engine').

Now the router that serves the caller records the crash, of the whole request and of the conversation, the gossip tells the others, and the admitting router says in its result whether the engine ended the connection. After two crashes a chat isn't sent on, after three it is refused. Engines have no incarnations here, so that a restart can't be told from a crash; trials begin 2 s after the crash, later each time (defect.WithTrialWait).

Measured: TestScenarios/deadly-chat fails on the commit before (no-engine, all six engines ended) and passes: three engines end, the chat is refused through two other routers, another chat is served. All scenarios pass. Not covered: calls to services, and a restart of all routers, as our own interface keeps this in memory. TestPlainCrashesBlockNoPart has two cases more for streams that go on; without them the mutant sound-part-is-suspect-at-once was missed since a complete response has a record of its own.

--- a/cmd/router/gateway/attempt_outcome.go
+++ b/cmd/router/gateway/attempt_outcome.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"vanillalug.example/cmd/router/channel"
+	"vanillalug.example/reception"
 )
 
 // recordSuccess records a success of the target, which resets its failures.
@@ -69,7 +70,7 @@
 		t.recordFailure(u, responseFailureWeight)
 		mayResend = t.recordCrash(u, o.begun, o.cause)
 	}
-	if mayResend && connectionEnded(o.cause) {
+	if mayResend && reception.ConnectionEnded(o.cause) {
 		t.detail = describeSubject(t.wholeRequest())
 	}
 	t.logAttempt("no answer", o.cause)
--- a/cmd/router/gateway/defects.go
+++ b/cmd/router/gateway/defects.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"vanillalug.example/cmd/router/logbook"
@@ -14,6 +11,7 @@
 	"vanillalug.example/defect"
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
+	"vanillalug.example/reception"
 )
 
 // statusDefect is the status for a request that no target survives. It states that the
@@ -156,7 +154,7 @@
 // otherCause returns why the end of a response says nothing about the request, "" if it may.
 func (t *transaction) otherCause(u *upstream, cause error) string {
 	switch {
-	case !connectionEnded(cause):
+	case !reception.ConnectionEnded(cause):
 		return "the connection has not ended"
 	case u.leaving.Load():
 		return "the target was leaving"
@@ -217,13 +215,6 @@
 	}
 }
 
-// connectionEnded reports whether an error says that the other side closed or reset the
-// connection, as that of a process that has crashed is.
-func connectionEnded(err error) bool {
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-}
-
 func describeSubjects(subjects []defect.Subject) string {
 	out := make([]string, len(subjects))
 	for i, s := range subjects {
--- a/cmd/router/office/membership.go
+++ b/cmd/router/office/membership.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"vanillalug.example/cmd/router/logbook"
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/depot"
 	"vanillalug.example/dispatch"
@@ -143,6 +144,7 @@
 // version of the fleet document.
 func (r *Router) HandleGossip(g *peer.Gossip) {
 	r.applyRoster(g.Apply(r.roster, r.loads, r.owners().index, r.clock.Now()))
+	r.defects.RecordFromPeer(logbook.FromProto(g.GetDefects()), r.clock.Now())
 	if v := g.GetVersion(); v > 0 {
 		r.applyRegister(r.register.Handle(register.PeerVersionReceived{Peer: g.GetFrom(), Version: v}))
 	}
@@ -151,7 +153,9 @@
 // newGossip returns the gossip for a message to a peer.
 func (r *Router) newGossip(to string) *peer.Gossip {
 	r.updateOwnLoads()
-	return peer.NewGossip(r.roster, r.loads, r.owners().index, to, r.clock.Now(), rand.IntN)
+	g := peer.NewGossip(r.roster, r.loads, r.owners().index, to, r.clock.Now(), rand.IntN)
+	g.Defects = logbook.ToProto(r.defects.Reports(r.clock.Now()))
+	return g
 }
 
 // notifyPeers handles an event about this router itself and sends it to some peers
--- a/cmd/router/office/relay.go
+++ b/cmd/router/office/relay.go
@@ -27,6 +27,7 @@
 	Reason      string              `json:"reason,omitempty"`
 	NotRun      bool                `json:"unsent,omitempty"`
 	Problem     *vanillalug.Problem `json:"problem,omitempty"`
+	Crashed     bool                `json:"crashed,omitempty"`
 	Loads       []courier.Load      `json:"loads,omitempty"`
 }
 
@@ -57,7 +58,7 @@
 	case Rejected:
 		return ResultBody{Kind: kindRejected, Problem: v.Problem}, true
 	case Interrupted:
-		return ResultBody{Kind: kindInterrupted, Reason: v.Reason}, true
+		return ResultBody{Kind: kindInterrupted, Reason: v.Reason, Crashed: v.Crashed}, true
 	}
 	return ResultBody{}, false
 }
@@ -93,7 +94,7 @@
 			return Rejected{Problem: b.Problem}
 		}
 	}
-	return Interrupted{Reason: b.Reason}
+	return Interrupted{Reason: b.Reason, Crashed: b.Crashed}
 }
 
 // relay sends the request to the admitting router at the address and streams the
--- a/cmd/router/office/result.go
+++ b/cmd/router/office/result.go
@@ -33,8 +33,11 @@
 type Rejected struct{ Problem *vanillalug.Problem }
 
 // Interrupted means that the response is incomplete. The engine may still be
-// running the request.
-type Interrupted struct{ Reason string }
+// running the request. Crashed says that it seems to have crashed: it ended the connection.
+type Interrupted struct {
+	Reason  string
+	Crashed bool
+}
 
 // CallerDisconnected means that the caller closed the connection.
 type CallerDisconnected struct{}
--- a/cmd/router/office/router.go
+++ b/cmd/router/office/router.go
@@ -12,6 +12,7 @@
 	"vanillalug.example/allowance"
 	"vanillalug.example/cmd/router/courier"
 	"vanillalug.example/cmd/router/meter"
+	"vanillalug.example/defect"
 	"vanillalug.example/depot"
 	"vanillalug.example/dispatch"
 	"vanillalug.example/notice"
@@ -47,6 +48,8 @@
 	evacuations  evacuations
 	journal      *journal
 	inFlight     inFlightCounts
+	// defects has the chats that crash engines.
+	defects *defect.Tracker
 
 	draining atomic.Bool
 	// stopAt is when a draining router will stop; nil if that isn't known. durations has how long
@@ -111,6 +114,7 @@
 		register:  register.New(deps.Clock, id.Levels),
 		loads:     dispatch.NewLoadView(),
 		budget:    allowance.NewBudget(),
+		defects:   defect.NewTracker(defect.WithTrialWait(trialWait)),
 		durations: notice.NewDurations(),
 	}
 	r.journal = newJournal(deps.Clock, deps.Table)
--- a/cmd/router/office/run.go
+++ b/cmd/router/office/run.go
@@ -11,6 +11,7 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/desk"
 	"vanillalug.example/receipt"
+	"vanillalug.example/reception"
 )
 
 // cancelTimeout is the timeout of a cancel request to an engine.
@@ -59,7 +60,7 @@
 		return EngineUnavailable{Reason: "busy"}
 	}
 	es.health.RecordFailure()
-	return Interrupted{Reason: err.Error()}
+	return Interrupted{Reason: err.Error(), Crashed: reception.ConnectionEnded(err)}
 }
 
 // resume continues a response that another router was streaming.
@@ -94,7 +95,8 @@
 			case receipt.Complete:
 				return Completed{}
 			case receipt.Fail:
-				return Interrupted{Reason: "stream broke off"}
+				// It neither goes on nor can be resumed.
+				return Interrupted{Reason: "stream broke off", Crashed: s == nil && !r.evacuated(e.Place())}
 			case receipt.Resume:
 				if ctx.Err() != nil {
 					return CallerDisconnected{}
--- a/cmd/router/office/transaction.go
+++ b/cmd/router/office/transaction.go
@@ -30,6 +30,10 @@
 	spilled  bool
 	attempts int
 	start    time.Time
+	// sentAt is when the current attempt began.
+	sentAt time.Time
+	// suspects is what of the chat may crash engines.
+	suspects suspects
 }
 
 func newTransaction(r *Router, f *vanillalug.Fleet, q ChatRequest, sink Sink) *transaction {
@@ -45,6 +49,7 @@
 		excluded: map[string]bool{},
 		attempts: 1,
 		start:    now,
+		suspects: r.suspectsOf(q),
 	}
 }
 
@@ -61,6 +66,9 @@
 }
 
 func (t *transaction) run(ctx context.Context) *vanillalug.Problem {
+	if p := t.suspects.reject(); p != nil {
+		return p
+	}
 	for {
 		hop, ok := t.route.Hop()
 		if !ok {
@@ -68,6 +76,7 @@
 		}
 		switch v := t.admit(ctx, hop).(type) {
 		case Completed:
+			t.suspects.recordSound()
 			meter.ResponseTime(t.chat.Workspace.Name(), t.chat.Class, t.router.clock.Now().Sub(t.start))
 			return nil
 		case Rejected:
@@ -87,6 +96,9 @@
 				return p
 			}
 		case Interrupted:
+			if v.Crashed && !t.suspects.recordCrash(hop.Engine(), t.chatStage(), t.sentAt) {
+				return t.interrupted(v.Reason)
+			}
 			if p := t.retry(ctx, v.Reason); p != nil {
 				return p
 			}
@@ -100,6 +112,7 @@
 	if ctx.Err() != nil {
 		return CallerDisconnected{}
 	}
+	t.sentAt = t.router.clock.Now()
 	q := t.relayRequest(hop)
 	name, address := t.selectAdmitter(hop.Engine())
 	t.admitter = name
--- a/cmd/standin/engine/engine.go
+++ b/cmd/standin/engine/engine.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"vanillalug.example/cmd/standin/fault"
@@ -76,6 +78,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if word := e.faults.Current().CrashOn; word != "" && req.echoWord() == word {
+		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	}
 	if e.faults.Consume(func(f *fault.Faults) *int { return &f.Unavailable }) || !e.serves(req.Model) {
 		http.Error(w, "model is not loaded", http.StatusServiceUnavailable)
 		return
--- a/cmd/standin/fault/injector.go
+++ b/cmd/standin/fault/injector.go
@@ -48,6 +48,8 @@
 	// DropCacheEvents leaves out the first event of each response with cache
 	// events.
 	DropCacheEvents bool `json:"drop-cache-events,omitempty"`
+	// CrashOn ends an engine with SIGKILL when it has read a chat whose last message begins with it.
+	CrashOn string `json:"crash-on,omitempty"`
 	// Unavailable answers calls with 503, so many times.
 	Unavailable int `json:"refuse,omitempty"`
 }
--- a/defect/admission.go
+++ b/defect/admission.go
@@ -9,10 +9,10 @@
 	// trialPause is the time after a trial at a router within which the outcome of that or of another
 	// router's becomes known.
 	trialPause = time.Second
-	// trialWait is how long after a crash the first trial is made of a subject that is blocked; it
+	// defaultTrialWait is how long after a crash the first trial is made of a subject that is blocked; it
 	// doubles each time that the subject came again and crashed a target, up to maxTrialWait.
-	trialWait    = time.Minute
-	maxTrialWait = evidenceTTL / 2
+	defaultTrialWait = time.Minute
+	maxTrialWait     = evidenceTTL / 2
 )
 
 // Admission is what becomes of a request by the evidence about its subjects.
@@ -52,7 +52,7 @@
 			continue
 		}
 		explained := t.explained(r, subjects, now)
-		if !explained && !r.trialDue(now) {
+		if !explained && !t.trialDue(r, now) {
 			return Rejected{Subject: s}
 		}
 		turn := explained || random%uint64(max(routers, 1)) == 0
@@ -81,13 +81,13 @@
 }
 
 // trialDue reports whether the last crash is so long ago that a trial is worth its risk.
-func (r *record) trialDue(now time.Time) bool {
+func (t *Tracker) trialDue(r *record, now time.Time) bool {
 	counted := r.counted(now)
 	if len(counted) == 0 {
 		return true
 	}
 	last := slices.MaxFunc(counted, func(a, b crash) int { return a.at.Compare(b.at) })
-	wait := trialWait
+	wait := t.trialWait
 	for range rounds(counted) - 1 {
 		wait = min(2*wait, maxTrialWait)
 	}
--- a/defect/tracker.go
+++ b/defect/tracker.go
@@ -50,6 +50,8 @@
 	// were completed.
 	sound     soundTimes
 	completed soundTimes
+	// trialWait is how long after a crash the first trial is made.
+	trialWait time.Duration
 
 	mu      sync.Mutex
 	records map[Subject]*record
@@ -57,9 +59,19 @@
 	targets map[TargetKey]*targetRecord
 }
 
+// Option is an option of NewTracker.
+type Option func(*Tracker)
+
+// WithTrialWait sets how long after a crash the first trial is made of a subject that is blocked.
+func WithTrialWait(d time.Duration) Option { return func(t *Tracker) { t.trialWait = d } }
+
 // NewTracker returns a Tracker without evidence.
-func NewTracker() *Tracker {
-	return &Tracker{records: map[Subject]*record{}, targets: map[TargetKey]*targetRecord{}}
+func NewTracker(opts ...Option) *Tracker {
+	t := &Tracker{records: map[Subject]*record{}, targets: map[TargetKey]*targetRecord{}, trialWait: defaultTrialWait}
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
 }
 
 // Kept returns the subjects whose evidence is worth keeping beyond a restart of all routers.
--- a/defect/tracker_test.go
+++ b/defect/tracker_test.go
@@ -123,7 +123,11 @@
 		sound   time.Duration
 		atPeer  bool
 		blocked bool
+		// goesOn says that the response that ran well isn't complete yet.
+		goesOn bool
 	}{
+		"goes on from before":          {sound: -soundTime / 2, goesOn: true},
+		"goes on from before, at peer": {sound: -soundTime / 2, goesOn: true, atPeer: true},
 		"ran well before":              {sound: -soundTime / 2},
 		"ran well at a peer":           {sound: -soundTime / 2, atPeer: true},
 		"ran well after":               {sound: soundTime / 2},
@@ -138,14 +142,18 @@
 			if tt.atPeer {
 				witness = b
 			}
+			record := witness.RecordSound
+			if tt.goesOn {
+				record = witness.RecordProgress
+			}
 			if tt.sound < 0 {
-				witness.RecordSound([]Subject{shared}, after(tt.sound))
+				record([]Subject{shared}, after(tt.sound))
 			}
 			for target := range TargetKey(3) {
 				a.RecordCrash([]Subject{shared, firstOwn + Part(target)}, target, start, start)
 			}
 			if tt.sound > 0 {
-				witness.RecordSound([]Subject{shared}, after(tt.sound))
+				record([]Subject{shared}, after(tt.sound))
 			}
 			now := after(soundTime / 2)
 			for range 2 {
