--- a/cmd/router/logbook/keeper.go
+++ b/cmd/router/logbook/keeper.go
@@ -262,7 +262,8 @@
 	err := k.store.RemoveDefects(ctx, void)
 	k.staleAt = time.Time{}
 	var status *platform.StatusError
-	if err != nil && !(errors.As(err, &status) && status.Status == http.StatusPreconditionFailed) {
+	writtenAgain := errors.As(err, &status) && status.Status == http.StatusPreconditionFailed
+	if err != nil && !writtenAgain {
 		k.log.Warn("cannot remove what crashes no targets any more from the store", "rows", len(void), "error", err)
 		return
 	}
--- a/cmd/router/logbook/keeper_test.go
+++ b/cmd/router/logbook/keeper_test.go
@@ -158,7 +158,8 @@
 // against evidence that stays young in the store.
 func TestRowIsCheckedAndAges(t *testing.T) {
 	report := defect.Report{Subject: part, ClearedAge: -1, CompletedAge: time.Second, Crashes: []defect.Crash{
-		{Target: 1, Age: time.Second, SentAge: 2 * time.Second, Stage: defect.Waiting, Round: 2}, {Target: 2, Age: time.Second, SentAge: time.Second},
+		{Target: 1, Age: time.Second, SentAge: 2 * time.Second, Stage: defect.Waiting, Round: 2},
+		{Target: 2, Age: time.Second, SentAge: time.Second},
 		{Target: 3, Age: time.Second, SentAge: time.Second, Stage: defect.Running, Round: 1},
 	}}
 	value, err := encodeRow(report, 1000)
--- a/cmd/router/office/defects.go
+++ b/cmd/router/office/defects.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -46,7 +47,7 @@
 		_, _ = io.WriteString(h, field)
 	}
 	h.Write(s.body)
-	s.all = append(s.shared[:len(s.shared):len(s.shared)], defect.Request(binary.BigEndian.Uint64(h.Sum(nil))))
+	s.all = slices.Concat(s.shared, []defect.Subject{defect.Request(binary.BigEndian.Uint64(h.Sum(nil)))})
 	return s.all
 }
 
--- a/lugtest/wiretest/server.go
+++ b/lugtest/wiretest/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -16,7 +17,7 @@
 // NewServer starts a server on the loopback interface. respond writes the response to a request, whose
 // body it may read; it returns false if the connection is to be closed.
 func NewServer(respond func(c net.Conn, r *http.Request) (goesOn bool)) (*Server, error) {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
