--- a/defect/record.go
+++ b/defect/record.go
@@ -47,10 +47,10 @@
 // completed then, also late ones. It is news if it is more than what peers tell again, which seems
 // later by the time that it was on its way.
 func (r *record) clear(at time.Time, completed bool, now time.Time) {
-	if r.raise(&r.clearedAt, at) {
+	if raise(&r.clearedAt, at) {
 		r.changedAt = now
 	}
-	if completed && r.raise(&r.completedAt, at) {
+	if completed && raise(&r.completedAt, at) {
 		r.changedAt = now
 	}
 	for target, c := range r.crashes {
@@ -61,8 +61,8 @@
 	}
 }
 
-// raise sets one of the record's times if it is later than before, and reports whether that is news.
-func (r *record) raise(known *time.Time, at time.Time) (news bool) {
+// raise sets a time if it is later than before, and reports whether that is news.
+func raise(known *time.Time, at time.Time) (news bool) {
 	if !at.After(*known) {
 		return false
 	}
--- a/defect/stage_test.go
+++ b/defect/stage_test.go
@@ -83,7 +83,7 @@
 // TestDeadlyPartIsAmongNews guards against a message to peers that has no room for the part that crashes
 // targets: each router has seen one crash of a target with many streams.
 func TestDeadlyPartIsAmongNews(t *testing.T) {
-	const bad, streams = Part(1), 100
+	const bad, streams = Part(1 << 40), 100
 	told := NewTracker()
 	for router := range 3 {
 		tr := NewTracker()
