defect: messages to peers have 16 subjects again, in turn

Cause: since a datagram had up to 64 subjects, and crashes before the head make four times as many of them suspect. Now 16 as before. What a message has room for goes by the crashes, then parts before requests, then those that were told longest ago, so that a crash of a target with 100 streams is told within seven messages.

The tests of defect pass, those with 113 and 300 routers too.

--- a/defect/record.go
+++ b/defect/record.go
@@ -31,6 +31,8 @@
 	// changedAt is when the record was last changed by an observation of this router
 	// or a report that was news.
 	changedAt time.Time
+	// toldAt is when this router last told its peers.
+	toldAt time.Time
 }
 
 // covers reports whether every crash that counts for another subject is one of this one.
--- a/defect/report.go
+++ b/defect/report.go
@@ -2,16 +2,16 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
 
 const (
-	// MaxReports bounds the subjects in one message. One crash makes all suspect that the target had.
-	MaxReports = 64
+	// MaxReports bounds the subjects in one message. One crash makes all suspect that the target had, so
+	// those that were told longest ago come first among equals.
+	MaxReports = 16
 	// maxMessageCrashes bounds the crashes in one message, so that it fits into a datagram.
-	maxMessageCrashes = 160
+	maxMessageCrashes = 64
 	// maxRecalled bounds the subjects that are recalled.
 	maxRecalled = 1024
 	// maxReportedCrashes bounds the crashes of one subject in a message.
@@ -45,7 +45,7 @@
 
 // Reports returns the evidence to tell to peers: what is new, and the blocked ones; those with the
 // most crashes and those that were cleared first, then parts of prompts, which new requests share,
-// then others at random, so that each gets its turn if there are more than a message holds.
+// then those that were told longest ago, so that each gets its turn if there are more than a message holds.
 func (t *Tracker) Reports(now time.Time) []Report {
 	if t.known.Load() == 0 {
 		t.notTold.Store(0)
@@ -62,6 +62,7 @@
 		if crashes > maxMessageCrashes {
 			break
 		}
+		t.records[n.subject].toldAt = now
 		out = append(out, report)
 	}
 	t.notTold.Store(int64(len(news) - len(out)))
@@ -72,7 +73,7 @@
 type newsItem struct {
 	subject Subject
 	rank    int
-	random  uint64
+	toldAt  time.Time
 }
 
 // newsRank is the place of a subject by its crashes. That it was cleared is as urgent as that it is
@@ -95,13 +96,13 @@
 		}
 		crashes := r.count(now)
 		if now.Sub(r.changedAt) < newsTime || crashes >= CrashesToBlock {
-			out = append(out, newsItem{subject: s, rank: newsRank(crashes), random: rand.Uint64()})
+			out = append(out, newsItem{subject: s, rank: newsRank(crashes), toldAt: r.toldAt})
 		}
 	}
 	t.known.Store(int64(len(t.records)))
 	slices.SortFunc(out, func(a, b newsItem) int {
 		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(kindOrder(a.subject), kindOrder(b.subject)),
-			cmp.Compare(a.random, b.random))
+			a.toldAt.Compare(b.toldAt))
 	})
 	return out
 }
