--- a/defect/report.go
+++ b/defect/report.go
@@ -10,8 +10,6 @@
 	// MaxReports bounds the subjects in one message. One crash makes all suspect that the target had, so
 	// those that were told longest ago come first among equals.
 	MaxReports = 16
-	// maxMessageCrashes bounds the crashes in one message, so that it fits into a datagram.
-	maxMessageCrashes = 64
 	// maxRecalled bounds the subjects that are recalled.
 	maxRecalled = 1024
 	// maxReportedCrashes bounds the crashes of one subject in a message.
@@ -55,15 +53,9 @@
 	defer t.mu.Unlock()
 	news := t.news(now)
 	out := make([]Report, 0, min(len(news), MaxReports))
-	crashes := 0
 	for _, n := range news[:min(len(news), MaxReports)] {
-		report := t.records[n.subject].report(now)
-		crashes += len(report.Crashes)
-		if crashes > maxMessageCrashes {
-			break
-		}
 		t.records[n.subject].toldAt = now
-		out = append(out, report)
+		out = append(out, t.records[n.subject].report(now))
 	}
 	t.notTold.Store(int64(len(news) - len(out)))
 	return out
