--- a/review/standins-2/case_garble.go
+++ b/review/standins-2/case_garble.go
@@ -38,7 +38,7 @@
 	const servers = 6
 	var garbles atomic.Bool
 	for i := range servers {
-		w, err := f.startWorker("i-app"+string(rune('1'+i)), "app", f.zone(i), f.ip(2, i+1), 6)
+		w, err := f.startWorker("i-app"+string(rune('1'+i)), "app", f.zone(i), f.ip(2, i+1), "v1", 6)
 		if err != nil {
 			return verdict{}, err
 		}
--- a/review/standins-2/case_late.go
+++ b/review/standins-2/case_late.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["8"] = playLate }
+func init() { cases["9"] = playLate }
 
 const (
 	drainTime = 2 * time.Second // drain_ms
@@ -31,7 +31,7 @@
 	}
 	var leaver *worker
 	for i := range 3 {
-		w, err := f.startWorker("i-app"+string(rune('1'+i)), "app", f.zone(i), f.ip(2, i+1), 6)
+		w, err := f.startWorker("i-app"+string(rune('1'+i)), "app", f.zone(i), f.ip(2, i+1), "v1", 6)
 		if err != nil {
 			return verdict{}, err
 		}
--- a/review/standins-2/case_repeat.go
+++ b/review/standins-2/case_repeat.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["7"] = playRepeat }
+func init() { cases["8"] = playRepeat }
 
 const (
 	// copies is how often the request is sent at one moment: once, and three repeats at once.
@@ -102,7 +102,7 @@
 	d.started++
 	id := fmt.Sprintf("i-app%d", d.started)
 	d.mu.Unlock()
-	w, err := f.startWorker(id, "app", f.zone(i), f.ip(2, i+1), 6)
+	w, err := f.startWorker(id, "app", f.zone(i), f.ip(2, i+1), "v1", 6)
 	if err != nil {
 		return err
 	}
--- a/review/standins-2/client.go
+++ b/review/standins-2/client.go
@@ -15,6 +15,8 @@
 type request struct {
 	id, method, path, body string
 	deadline               time.Duration
+	// lastEvent and resumes are of a stream that is taken up again: its last event, and the first attempt.
+	lastEvent, resumes string
 }
 
 // answer is what a client got.
@@ -58,6 +60,9 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\n",
 		q.method, q.path, host, q.id, q.deadline.Milliseconds(), apiKey)
+	if q.lastEvent != "" {
+		fmt.Fprintf(&b, "Last-Event-Id: %s\r\nResumes: %s\r\n", q.lastEvent, q.resumes)
+	}
 	if q.method == http.MethodPost {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.body))
 	}
--- a/review/standins-2/worker.go
+++ b/review/standins-2/worker.go
@@ -38,14 +38,14 @@
 
 const beat = 1200 * time.Millisecond
 
-func (f *fleet) startWorker(id, service, zone, ip string, slots int) (*worker, error) {
+func (f *fleet) startWorker(id, service, zone, ip, version string, slots int) (*worker, error) {
 	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
 		return nil, err
 	}
 	w := &worker{
 		f: f, id: id, service: service, zone: zone, address: l.Addr().String(), born: time.Now().UnixMilli(), slots: slots,
-		version: "v1", sem: make(chan struct{}, slots), listener: l, conns: map[net.Conn]bool{}, state: "ready", stop: make(chan struct{}),
+		version: version, sem: make(chan struct{}, slots), listener: l, conns: map[net.Conn]bool{}, state: "ready", stop: make(chan struct{}),
 	}
 	go w.accept()
 	go func() {
