--- a/review/standins-2/case_canary.go
+++ b/review/standins-2/case_canary.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["10"] = playCanary }
+func init() { cases["7"] = playCanary }
 
 const (
 	canaryTries = 3
--- a/review/standins-2/case_late.go
+++ b/review/standins-2/case_late.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["9"] = playLate }
+func init() { cases["10"] = playLate }
 
 const (
 	drainTime = 2 * time.Second // drain_ms
--- a/review/standins-2/case_repeat.go
+++ b/review/standins-2/case_repeat.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-func init() { cases["8"] = playRepeat }
+func init() { cases["9"] = playRepeat }
 
 const (
 	// copies is how often the request is sent at one moment: once, and three repeats at once.
--- a/review/standins-2/case_takenup.go
+++ b/review/standins-2/case_takenup.go
@@ -16,7 +16,7 @@
 	"time"
 )
 
-func init() { cases["7"] = playTakenUp }
+func init() { cases["8"] = playTakenUp }
 
 const (
 	// downTime is how long the routers are down.
