--- a/review/standins-2/case_canary.go
+++ b/review/standins-2/case_canary.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,7 +29,7 @@
 // taken back before they are there again.
 func playCanary(f *fleet) (verdict, error) {
 	if err := f.publish(7, []map[string]any{appService("llm")},
-		route{Name: "r-draft", Prefix: "/draft/", Kind: "streaming", Timeout: 15000, Goal: 2000, Service: "llm", Attempts: 2, Resumable: true}); err != nil {
+		route{Name: "r-draft", Prefix: "/draft/", Kind: "streaming", Timeout: 15000, Goal: 1000, Service: "llm", Attempts: 2, Resumable: true}); err != nil {
 		return verdict{}, err
 	}
 	for i := range 4 {
@@ -41,7 +42,7 @@
 	if err := f.startRouters(6); err != nil {
 		return verdict{}, err
 	}
-	n := &takenUp{f: f, path: "/draft/25", inTouch: time.Now(), channels: map[*channel]bool{}}
+	n := &takenUp{f: f, path: "/draft/76", inTouch: time.Now(), channels: map[*channel]bool{}}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for range 60 {
@@ -77,6 +78,13 @@
 	if err != nil {
 		return err
 	}
+	var leaving atomic.Bool
+	w.head = func() string {
+		if leaving.Load() {
+			return "Server-Leaving: 1\r\n"
+		}
+		return ""
+	}
 	w.answer = stream
 	f.rec.logf("a server with new software joins")
 	time.Sleep(canaryTime)
@@ -91,6 +99,7 @@
 	}
 	time.Sleep(rollbackTime)
 	w.silent.Store(true)
+	leaving.Store(true)
 	f.store.put("servers", w.id, nil)
 	f.rec.logf("the server with new software is taken back")
 	time.Sleep(canaryDown - rollbackTime)
--- a/review/standins-2/case_garble.go
+++ b/review/standins-2/case_garble.go
@@ -14,10 +14,10 @@
 const (
 	// garbleShare is the part of the servers that hand out wrong bytes, and garbleRate of their answers.
 	garbleShare = 0.5
-	garbleRate  = 0.03
+	garbleRate  = 0.02
 	garbleTime  = 5 * time.Second
 	garblePause = 2 * time.Second
-	garbleTimes = 5
+	garbleTimes = 6
 	// closeRate is the part of the answers after which a server closes the channel.
 	closeRate = 0.1
 )
--- a/review/standins-2/case_late.go
+++ b/review/standins-2/case_late.go
@@ -14,6 +14,8 @@
 
 const (
 	drainTime = 2 * time.Second // drain_ms
+	// appServers is of how many servers one leaves.
+	appServers = 9
 	// holdTime is how long a report is held up, and leaveAfter when the server leaves meanwhile.
 	holdTime   = 5 * time.Second
 	leaveAfter = 2500 * time.Millisecond
@@ -30,7 +32,7 @@
 		return verdict{}, err
 	}
 	var leaver *worker
-	for i := range 3 {
+	for i := range appServers {
 		w, err := f.startWorker("i-app"+string(rune('1'+i)), "app", f.zone(i), f.ip(2, i+1), "v1", 6)
 		if err != nil {
 			return verdict{}, err
--- a/review/standins-2/case_takenup.go
+++ b/review/standins-2/case_takenup.go
@@ -23,8 +23,10 @@
 	downTime = 500 * time.Millisecond
 	// minTakenUp is from how many streams on LOST judges.
 	minTakenUp = 12
+	// timeLimit is how long a client waits for its stream, over both attempts.
+	timeLimit = 15 * time.Second
 	// eventGap is the time between two events of a stream.
-	eventGap = 30 * time.Millisecond
+	eventGap = 25 * time.Millisecond
 )
 
 var (
@@ -51,10 +53,10 @@
 // Clients take the streams that broke off up again as soon as the routers are in touch.
 func playTakenUp(f *fleet) (verdict, error) {
 	if err := f.publish(7, []map[string]any{appService("llm")},
-		route{Name: "r-draft", Prefix: "/draft/", Kind: "streaming", Timeout: 15000, Goal: 2000, Service: "llm", Attempts: 2, Resumable: true}); err != nil {
+		route{Name: "r-draft", Prefix: "/draft/", Kind: "streaming", Timeout: 15000, Goal: 1000, Service: "llm", Attempts: 2, Resumable: true}); err != nil {
 		return verdict{}, err
 	}
-	for i := range 8 {
+	for i := range 9 {
 		w, err := f.startWorker(fmt.Sprintf("i-llm%d", i+1), "llm", f.zone(i), f.ip(2, i+1), fmt.Sprintf("v%d", i%2+1), 64)
 		if err != nil {
 			return verdict{}, err
@@ -162,8 +164,9 @@
 		}
 		n.waitInTouch()
 		body := fmt.Sprintf("prompt %d", rand.Uint64())
+		begin := time.Now()
 		var versions []string
-		first, events, whole := n.ask(request{id: n.f.newID(), body: body}, 0, &versions)
+		first, events, whole := n.ask(request{id: n.f.newID(), body: body, deadline: timeLimit}, 0, &versions)
 		n.mu.Lock()
 		n.new++
 		if events > 0 {
@@ -175,7 +178,7 @@
 		}
 		time.Sleep(50 * time.Millisecond)
 		n.waitInTouch()
-		_, more, _ := n.ask(request{id: n.f.newID(), body: body, lastEvent: strconv.Itoa(events), resumes: first}, events, &versions)
+		_, more, _ := n.ask(request{id: n.f.newID(), body: body, lastEvent: strconv.Itoa(events), resumes: first, deadline: timeLimit - time.Since(begin)}, events, &versions)
 		n.mu.Lock()
 		n.again++
 		if more > events {
@@ -198,7 +201,7 @@
 	n.mu.Lock()
 	n.channels[c] = true
 	n.mu.Unlock()
-	q.method, q.path, q.deadline = http.MethodPost, n.path, 15*time.Second
+	q.method, q.path = http.MethodPost, n.path
 	n.f.rec.logf("client sends %s POST %s to %s, after event %q of %q", q.id, q.path, c.router, q.lastEvent, q.resumes)
 	a := c.do(q)
 	n.mu.Lock()
@@ -224,12 +227,15 @@
 
 // stream answers with numbered events, from the one after that which the client has.
 func stream(w *worker, c net.Conn, r *http.Request, _ []byte, _ int) (handled, keep bool) {
-	id := r.Header.Get("X-Attempt-Id")
+	id, lines := r.Header.Get("X-Attempt-Id"), ""
+	if w.head != nil {
+		lines = w.head()
+	}
 	w.f.rec.ran(w, id)
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	total, _ := strconv.Atoi(path.Base(r.URL.Path))
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Weight-Versions: 1\r\nX-Attempt-Id: " +
-		id + "\r\nX-Response-Seal: " + w.f.rec.seal(w, id) + "\r\n\r\n"
+		id + "\r\nX-Response-Seal: " + w.f.rec.seal(w, id) + "\r\n" + lines + "\r\n"
 	if _, err := io.WriteString(c, head); err != nil {
 		return true, false
 	}
