review: ports of the stand-ins are drawn once; case 7 has the site's traffic

Cause: in 1 of 210 starts one port was drawn twice for a router, so that case 10 couldn't run once. Change: ports are held until all are drawn. Case 7 asks for 54 streams a second, as the site's clients do.

--- a/review/standins-2/case_canary.go
+++ b/review/standins-2/case_canary.go
@@ -13,6 +13,8 @@
 
 const (
 	canaryTries = 3
+	// canaryClients ask for about 54 streams a second, as all clients of the site's engines do.
+	canaryClients = 116
 	// forgetTime is how long the routers remember a version that has gone, at least.
 	forgetTime = 31 * time.Second
 	// canaryTime is how long a canary has served when the routers are killed, and rollbackTime how much later
@@ -45,7 +47,7 @@
 	n := &takenUp{f: f, path: "/draft/76", inTouch: time.Now(), channels: map[*channel]bool{}}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	for range 60 {
+	for range canaryClients {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
--- a/review/standins-2/routers.go
+++ b/review/standins-2/routers.go
@@ -22,26 +22,26 @@
 	exited                      chan struct{}
 }
 
-// freePort returns a port of the address that nothing listens on.
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp4", ip+":0")
-	if err != nil {
-		return "", err
+// freePorts sets addresses with ports that nothing listens on. The ports are held until all are drawn, so
+// that none is drawn twice.
+func freePorts(ip string, addresses ...*string) error {
+	for _, a := range addresses {
+		l, err := net.Listen("tcp4", ip+":0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = l.Close() }()
+		*a = l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return nil
 }
 
 // startRouters fills in the template of the deploy file and starts a process for each VM.
 func (f *fleet) startRouters(n int) error {
 	for i := range n {
 		r := &router{name: fmt.Sprintf("edge-%d", i+1), ip: f.ip(1, i+1), dir: f.dir}
-		for _, a := range []*string{&r.entry, &r.ready, &r.peers} {
-			address, err := freePort(r.ip)
-			if err != nil {
-				return err
-			}
-			*a = address
+		if err := freePorts(r.ip, &r.entry, &r.ready, &r.peers); err != nil {
+			return err
 		}
 		f.routers = append(f.routers, r)
 	}
