gateway: a response is the target's only with the request's id, a success only with its proof

Cause: on a new connection a response without an attempt id was taken for the response to the request, as there is no earlier request; the proof was never asked for, platform.Response.Sealed had no caller.

Without the request's id, or as a success without the proof, it counts as no response: 502, or another target for an idempotent request, no evidence of a crash. What it states of the target isn't heard. A router that relays checks its peer's response too.

--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"syscall"
@@ -14,12 +13,6 @@
 	"vanillalug.example/reception"
 )
 
-const (
-	// maxStrayResponses is how many responses to other requests are skipped.
-	maxStrayResponses = 2
-	maxStrayBytes     = 1 << 20
-)
-
 // outcome is the result of one upstream attempt.
 type outcome interface{ outcome() }
 
@@ -112,8 +105,8 @@
 	o.reusable = bound && !stray && !response.Close && written.Completed()
 	t.observeHead(o.meta)
 	if o.meta.NotRun() && !bound {
-		// It may have been written before the request was read.
-		t.g.log.Warn("a refusal without the request's id", "request", t.req.ID(), "target", t.target, "status", response.StatusCode)
+		// Without an id it can't be told whether it was written before the request was read.
+		t.g.log.Warn("a refusal without an id", "target", t.target, "status", response.StatusCode)
 	}
 	if o.meta.NotRun() && bound {
 		t.releaseConn(o, discardBody(response.Body))
@@ -188,30 +181,6 @@
 // lowestEnginePriority is the least urgent priority of an engine.
 const lowestEnginePriority = 9
 
-// readResponseHead reads the head of the response to this request. It skips
-// responses to other requests; then stray is true and the connection must not be
-// reused.
-func (t *transaction) readResponseHead(conn *channel.Conn, u *upstream) (response *http.Response, stray bool, err error) {
-	for range maxStrayResponses + 1 {
-		response, err = t.readHead(conn)
-		if err != nil {
-			return nil, stray, err
-		}
-		meta := platform.ReadResponse(response)
-		t.g.observeState(u, meta, t.req.ID())
-		id := meta.ID()
-		if id == t.req.ID() || id == "" && !conn.Reused() && !stray {
-			return response, stray, nil
-		}
-		stray = true
-		t.g.log.Warn("skipped a response to another request", "request", t.req.ID(), "answer", id, "target", t.target)
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes)); err != nil {
-			return nil, stray, fmt.Errorf("transaction.readResponseHead: %w", err)
-		}
-	}
-	return nil, stray, errors.New("transaction.readResponseHead: only responses to other requests")
-}
-
 // headFactor is what a byte of an unfinished head is charged with: a field of few bytes needs much
 // more in a map.
 const headFactor = 16
--- a/cmd/router/gateway/relay.go
+++ b/cmd/router/gateway/relay.go
@@ -128,6 +128,12 @@
 		t.attempts++
 		return noResponse{cause: err}
 	}
+	if meta := platform.ReadResponse(response); meta.Unproven() {
+		stopWatch()
+		conn.Discard()
+		t.attempts++
+		return noResponse{cause: &unprovenResponseError{status: meta.Status()}}
+	}
 	return newResponded(conn, response, written, stopWatch)
 }
 
--- a/cmd/router/gateway/repeated_refusal_test.go
+++ b/cmd/router/gateway/repeated_refusal_test.go
@@ -104,7 +104,7 @@
 	if r.Header.Get("Accept") == "text/event-stream" {
 		body, kind = "id: 1\ndata: {}\n\n", "text/event-stream"
 	}
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", id, kind, len(body), body)
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", id, kind, len(body), body)
 }
 
 func (p *repeatingTarget) refusal(id string) string {
