--- a/cmd/router/gateway/harness_test.go
+++ b/cmd/router/gateway/harness_test.go
@@ -47,6 +47,8 @@
 	entry    *httptest.Server
 	logs     *logBuffer
 	cleanups []func()
+	// stopPeerServer stops serving the calls of peers.
+	stopPeerServer func()
 }
 
 // logBuffer keeps the log output of a router.
@@ -106,8 +108,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	require.NoError(t, tr.g.Run(ctx))
 	tr.entry = httptest.NewServer(tr.g)
-	peers := servePeers(t, tr.g)
-	tr.cleanups = []func(){tr.entry.CloseClientConnections, tr.entry.Close, cancel, peers, store.Close}
+	tr.stopPeerServer = servePeers(t, tr.g)
+	tr.cleanups = []func(){tr.entry.CloseClientConnections, tr.entry.Close, cancel, tr.stopPeerServer, store.Close}
 	t.Cleanup(tr.close)
 	return tr
 }
--- a/cmd/router/gateway/unproven_response_test.go
+++ b/cmd/router/gateway/unproven_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -98,3 +99,24 @@
 	require.Eventually(t, func() bool { return tr.post("/once/x", "b", "work").status == http.StatusBadGateway }, waitTimeout, pollInterval)
 	require.NotContains(t, tr.logs.String(), `"@message":"target names no limit any more"`)
 }
+
+// TestUnprovenPeerResponse guards against a response of another program at a peer's address that reaches a caller
+// as that of the target to which the peer was to relay.
+func TestUnprovenPeerResponse(t *testing.T) {
+	f := newPartitionTestFleet(t, 2)
+	f.cut(resetting, 1)
+	f.waitRelaying(t, "/once/x", plainService, 1)
+	f.waitRelaying(t, "/broken/x", engineService, 1)
+	f.routers[1].stopPeerServer()
+	page := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("It works!")) })
+	l, err := net.Listen("tcp4", f.routers[1].g.cfg.PeerAddress)
+	require.NoError(t, err)
+	server := &http.Server{Handler: page}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for _, path := range []string{"/once/x", "/broken/x"} {
+		w := f.routers[0].post(path, "a"+path[1:3], "work")
+		require.NoError(t, w.err)
+		require.Equal(t, http.StatusBadGateway, w.status, w.body)
+	}
+}
