gateway: streams begin at a new software version once the store has it

Cause: the versions of a service must outlast all routers, and were written up to a second after streams had begun at a new one. After the restart the only version in the registry and the store counted as the only one there was. The log says "stream goes on", by "only version", and the store's row lacked the new version (a trial of the test on, 3 of 3).

A new version wakes the router that writes; it stores the records of the streams before it, then the version. The others read the store while callers ask for streams.

Why it works: after a kill of all routers the stored versions are all at which a stream can have begun, so that one without a record is refused where there are several.

Before: TestStreamsBeginAtStoredVersion failed 3 of 3. A stored row that vouches for a revision was weighed: it needs a write every few seconds.

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -35,6 +35,7 @@
 	if rejected := t.rejectUnservable(random, now); rejected != nil {
 		return nil, 0, rejected
 	}
+	t.g.checkRollouts(now)
 	in := t.choiceInput(random, now)
 	decision := fitting.Choose(in.request, in.candidates)
 	if rejected := t.rejectionOf(decision, in); rejected != nil {
@@ -69,7 +70,7 @@
 // choiceInput returns by what the target of the next attempt is chosen. It changes nothing, as
 // explanations use it too.
 func (t *transaction) choiceInput(random uint64, now time.Time) choiceInput {
-	upstreams := t.compatible(t.g.upstreams.Load().byService[t.service])
+	upstreams := t.mayBegin(t.compatible(t.g.upstreams.Load().byService[t.service]), now)
 	return choiceInput{
 		upstreams:  upstreams,
 		candidates: append(t.candidates(upstreams, now), t.copySourcesOf(t.service, now)...),
--- a/cmd/router/gateway/gateway.go
+++ b/cmd/router/gateway/gateway.go
@@ -98,6 +98,7 @@
 	// of each service.
 	streams          *edition.Records
 	softwareVersions *edition.History
+	rollouts         *rollouts
 	registryReads    registryReads
 	stalls           stallDetector
 	// ignoredEntries has the registry entries that were left out.
@@ -216,6 +217,7 @@
 		permits:          quota.NewIssuer(),
 		streams:          edition.NewRecords(),
 		softwareVersions: edition.NewHistory(),
+		rollouts:         newRollouts(),
 		detours:          detour.NewTracker(),
 		view:             crew.NewView(),
 		evacuations:      evacuations{state: evacuation.NewState()},
--- a/cmd/router/gateway/stored_records.go
+++ b/cmd/router/gateway/stored_records.go
@@ -55,17 +55,21 @@
 func (g *Gateway) keepRecordsStored(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, storeRecordsInterval)
-		if !g.writesToStore() {
-			continue
-		}
-		now := g.clock.Now()
-		several := func(service string) bool { return g.softwareVersions.Several(service, now) }
-		if rows := g.backlog.Take(several, now); len(rows) > 0 {
-			g.storeRecords(ctx, rows)
+		if g.writesToStore() {
+			g.storeBacklog(ctx)
 		}
 	}
 }
 
+// storeBacklog writes the records that wait, of services with several versions.
+func (g *Gateway) storeBacklog(ctx context.Context) {
+	now := g.clock.Now()
+	several := func(service string) bool { return g.softwareVersions.Several(service, now) }
+	if rows := g.backlog.Take(several, now); len(rows) > 0 {
+		g.storeRecords(ctx, rows)
+	}
+}
+
 func (g *Gateway) storeRecords(ctx context.Context, rows []edition.BacklogRow) {
 	if dropped := len(rows) - maxRecordRows; dropped > 0 {
 		g.log.Warn("too many streams begin to store where", "rows-dropped", dropped)
--- a/cmd/router/gateway/stored_versions.go
+++ b/cmd/router/gateway/stored_versions.go
@@ -107,9 +107,11 @@
 		writer := g.chooseStoreWriter()
 		g.storeWriter.Store(&writer)
 		if writer.own {
+			// Records first: streams may begin at a new version as soon as the store has it.
+			g.storeBacklog(ctx)
 			g.storeVersions(ctx)
 		}
-		sleep(ctx, storeVersionsInterval)
+		g.awaitNewVersion(ctx)
 	}
 }
 
@@ -133,9 +135,19 @@
 		return
 	}
 	g.storedVersions.written(updates)
+	g.confirmRollouts(storedBy(updates))
 	g.log.Info("software versions stored", "services", len(updates), "service", updates[0].Service, "versions", updates[0].Versions)
 }
 
+// storedBy returns what the store has after updates.
+func storedBy(updates []edition.Update) map[string]edition.Stored {
+	out := make(map[string]edition.Stored, len(updates))
+	for _, u := range updates {
+		out[u.Service] = edition.Stored{Versions: u.Versions}
+	}
+	return out
+}
+
 // storedAnswer returns what the store has of a service's versions as an answer, or none. It was
 // read after this router's own history began: together they have no gap.
 func (g *Gateway) storedAnswer(ctx context.Context, service string) []edition.Answer {
--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -126,7 +126,7 @@
 		g.rebuildUpstreams()
 		g.presumeBrittle(effects)
 	}
-	g.softwareVersions.Observe(g.view.SoftwareVersions(), g.clock.Now())
+	g.observeVersions(g.clock.Now())
 	g.observeEpoch(g.view.Revision().Epoch())
 	version := versions{registry: g.view.Revision(), registryDigest: g.view.Digest()}
 	old := g.registryVersion.Load()
