crew: a target whose entry is back after its removal is asked whether it serves

Cause: an entry was taken for a word of the target from now; it is from when the heartbeat was sent.

Change: the view keeps a target out whose entry is back after it was removed from the same registry, and reports it as returned. The router asks the target at the health check of its service, with its id: once it says that it serves it takes work, if it says that it leaves that is final; else it is asked again each half second, and takes work when its entry has stayed for 10 s.

Why it works: the target itself knows, and a late heartbeat alone lapses after three intervals of silence.

TestViewAgainstOracle expected the fault: a removed target was to be used at once after a late heartbeat. It now checks that it isn't before it was verified or 10 s have passed, and has an action more. TestChangesSinceConverges verifies in both views what is back before it compares them, as each router does that by itself.

--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -125,6 +125,7 @@
 		g.presumeCold(effects)
 		g.rebuildUpstreams()
 		g.presumeBrittle(effects)
+		g.verifyReturned(effects)
 	}
 	g.observeVersions(g.clock.Now())
 	g.observeEpoch(g.view.Revision().Epoch())
@@ -180,6 +181,9 @@
 	case crew.VersionLearned:
 		g.log.Info("software version of a target learned", "target", e.Target.Incarnation(), "service", e.Target.Service(),
 			"software", e.Target.SoftwareVersion(), "revision", revision)
+	case crew.Returned:
+		g.log.Info("a target's entry is back after its removal; not used before it says that it serves", "target", e.Target.Incarnation(),
+			"service", e.Target.Service(), "revision", revision)
 	case crew.Unconfirmed:
 		g.log.Info("target lapsed while the store was away", "target", e.Target.Incarnation(), "revision", revision)
 	}
--- a/crew/change_log_test.go
+++ b/crew/change_log_test.go
@@ -71,6 +71,9 @@
 					continue
 				}
 				behind.Handle(Delta{Digest: behind.Digest(), Changes: changes, Revision: ahead.Revision()})
+				// Each router verifies targets that are back by itself.
+				verifyAll(ahead)
+				verifyAll(behind)
 				require.Equal(t, ahead.Usable(), behind.Usable())
 				require.Equal(t, ahead.Digest(), behind.Digest())
 				require.Equal(t, ahead.Revision(), behind.Revision())
--- a/crew/entry.go
+++ b/crew/entry.go
@@ -13,6 +13,9 @@
 	// withdrawn marks a target that had been removed before the registry, which
 	// lists it, was restored from an older copy.
 	withdrawn bool
+	// returned marks a withdrawn target whose entry is back after its removal: the target
+	// has to prove that it isn't leaving, as a late heartbeat may have written the entry.
+	returned bool
 	// until is when an unconfirmed target is removed, and when a withdrawn one is
 	// used again.
 	until time.Time
@@ -56,6 +59,9 @@
 
 // reason says why the target takes no new work.
 func (e *entry) reason() string {
+	if e.returned {
+		return "back after its removal"
+	}
 	if e.withdrawn {
 		return "removed before the registry was restored"
 	}
@@ -65,10 +71,10 @@
 // transition returns the effects of replacing an entry; old is nil for a new one.
 func transition(old, next *entry) []Effect {
 	if old == nil || !old.takesWork() {
-		return join(next)
+		return arrive(old, next)
 	}
 	if !old.sameTarget(next) {
-		return append(leave(old, "restarted"), join(next)...)
+		return append(leave(old, "restarted"), arrive(old, next)...)
 	}
 	switch {
 	case !next.takesWork():
@@ -83,6 +89,15 @@
 	return nil
 }
 
+// arrive returns the effects of an entry whose target took no work before; old is nil for a new one.
+func arrive(old, next *entry) []Effect {
+	known := old != nil && old.returned && old.sameTarget(next)
+	if next.returned && !known {
+		return []Effect{Returned{Target: next.target}}
+	}
+	return join(next)
+}
+
 // join returns the effects of a target that takes work from now on, if it does.
 func join(e *entry) []Effect {
 	if !e.takesWork() {
--- a/crew/event.go
+++ b/crew/event.go
@@ -77,6 +77,9 @@
 	Target Target
 }
 
+// Verified reports that a target whose entry is back after its removal has said itself that it serves.
+type Verified struct{ Target Target }
+
 // Tick reports the current time, so that unconfirmed targets expire.
 type Tick struct{ At time.Time }
 
@@ -89,6 +92,7 @@
 func (RegistryRecovered) event() {}
 func (Withdrawals) event()       {}
 func (Leaving) event()           {}
+func (Verified) event()          {}
 func (Tick) event()              {}
 
 // Effect is a change of a View.
@@ -114,11 +118,16 @@
 // Confirmed reports that the entry of an unconfirmed target is back.
 type Confirmed struct{ Target Target }
 
+// Returned reports that the entry of a target is back after its removal. The target takes no work until
+// a Verified event, or until its entry has stayed for withdrawnTime.
+type Returned struct{ Target Target }
+
 // VersionLearned reports that the software version of a target, unknown before, is known.
 type VersionLearned struct{ Target Target }
 
 func (Confirmed) effect()      {}
 func (Joined) effect()         {}
+func (Returned) effect()       {}
 func (Left) effect()           {}
 func (Unconfirmed) effect()    {}
 func (VersionLearned) effect() {}
--- a/crew/tombstones.go
+++ b/crew/tombstones.go
@@ -23,7 +23,9 @@
 	// final says that the target itself had announced that it was leaving. That holds for the
 	// incarnation, whatever the registry lists later.
 	final bool
-	at    time.Time
+	// removed says that the entry was removed, and not replaced by that of another incarnation.
+	removed bool
+	at      time.Time
 }
 
 // covers reports whether a listing of the incarnation as of a revision is from
@@ -43,6 +45,7 @@
 	if old, known := l.get(x.target); known {
 		x.target.raiseCounts(old.target)
 		x.final = x.final || old.final
+		x.removed = x.removed || old.removed
 	} else if len(l.byIncarnation) >= maxTombstones {
 		l.dropOldest()
 	}
--- a/crew/view.go
+++ b/crew/view.go
@@ -45,6 +45,8 @@
 		return v.applyWithdrawn(e)
 	case Leaving:
 		return v.applyLeaving(e)
+	case Verified:
+		return v.applyVerified(e)
 	case RegistryLost:
 		v.registryLost = true
 	case RegistryRecovered:
@@ -147,7 +149,13 @@
 	switch c := c.(type) {
 	case Changed:
 		next := entry{target: c.Target, rewritten: true, restarted: v.restarted(c.Target)}
-		if x, found := v.tombstones.get(c.Target); found && !x.final {
+		x, found := v.tombstones.get(c.Target)
+		switch {
+		case !found || x.final:
+		case v.returns(&next, x, c.Revision):
+			next.target.raiseCounts(x.target)
+			next.returnAt(c.At)
+		default:
 			next.target.raiseCounts(x.target)
 			v.tombstones.drop(c.Target)
 		}
@@ -174,7 +182,7 @@
 		next.inherit(old)
 	}
 	if known && old.target.Incarnation() != next.target.Incarnation() {
-		v.addTombstone(old, now)
+		v.addTombstone(old, false, now)
 	}
 	if !next.takesWork() {
 		next.unconfirmed = false
@@ -200,6 +208,6 @@
 }
 
 // addTombstone remembers the incarnation of an entry that is removed or replaced.
-func (v *View) addTombstone(e *entry, now time.Time) {
-	v.tombstones.add(tombstone{target: e.target, revision: v.revision, final: e.final(), at: now})
+func (v *View) addTombstone(e *entry, removed bool, now time.Time) {
+	v.tombstones.add(tombstone{target: e.target, revision: v.revision, final: e.final(), removed: removed, at: now})
 }
--- a/crew/view_oracle_test.go
+++ b/crew/view_oracle_test.go
@@ -11,20 +11,31 @@
 )
 
 // TestViewAgainstOracle checks that, in any order of events, an incarnation that
-// was once draining or announced that it is leaving takes no new work again, and that the grace period after an
-// outage leaves exactly the ready entries of the registry in use.
+// was once draining or announced that it is leaving takes no new work again, that one which was removed takes none
+// before it is verified or its entry has stayed for long, and that the grace period after an outage leaves exactly
+// the ready entries of the registry in use.
 func TestViewAgainstOracle(t *testing.T) {
 	lugtest.Check(t, "300", "40", func(t *rapid.T) {
 		v := NewView()
 		now, revision := start, uint64(0)
 		registry := map[string]Target{}
-		drained := map[string]bool{}
+		drained, removed := map[string]bool{}, map[string]bool{}
 		startMillis := map[string]int64{"a": 1, "b": 1, "c": 1}
 		outage := false
 		pending := []Event{}
 		handle := func(e Event) {
 			before := usableIncarnations(v)
 			effects := v.Handle(e)
+			for _, x := range effects {
+				switch x := x.(type) {
+				case Left:
+					removed[x.Target.Incarnation()] = removed[x.Target.Incarnation()] || x.Reason == "removed" || x.Reason == "lapsed"
+				case Joined:
+					if _, late := e.(Tick); late {
+						delete(removed, x.Target.Incarnation())
+					}
+				}
+			}
 			for _, x := range v.All() {
 				if x.State() == Draining {
 					drained[x.Incarnation()] = true
@@ -90,6 +101,14 @@
 				registry[k] = target(k, rapid.Int64Range(1, startMillis[k]).Draw(t, "start"), Ready)
 				send(Changed{At: now, Target: registry[k], Revision: rev(revision)})
 			},
+			"verify": func(t *rapid.T) {
+				x, ok := registry[id.Draw(t, "id")]
+				if !ok {
+					return
+				}
+				delete(removed, x.Incarnation())
+				handle(Verified{Target: x})
+			},
 			"lose registry": func(*rapid.T) { outage = true; handle(RegistryLost{At: now}) },
 			"recover": func(t *rapid.T) {
 				outage = false
@@ -110,6 +129,7 @@
 			"": func(t *rapid.T) {
 				for _, incarnation := range usableIncarnations(v) {
 					require.False(t, drained[incarnation], incarnation)
+					require.False(t, removed[incarnation], incarnation)
 				}
 			},
 		})
@@ -119,6 +139,7 @@
 			handle(e)
 		}
 		handle(Tick{At: now.Add(GracePeriod)})
+		verifyAll(v)
 		var want []string
 		for _, k := range []string{"a", "b", "c"} {
 			if x, ok := registry[k]; ok && x.State() == Ready && !drained[x.Incarnation()] {
--- a/crew/view_snapshot.go
+++ b/crew/view_snapshot.go
@@ -57,8 +57,13 @@
 	if e.Revision.Epoch() == v.revision.Epoch() {
 		out.restarted = v.restarted(t)
 	}
-	if x, found := v.tombstones.get(t); found && !x.final && x.covers(t, e.Revision) {
+	x, found := v.tombstones.get(t)
+	switch {
+	case !found || x.final:
+	case x.covers(t, e.Revision):
 		out.withdraw(e.At)
+	case v.returns(&out, x, e.Revision):
+		out.returnAt(e.At)
 	}
 	return out
 }
--- a/crew/view_unconfirmed.go
+++ b/crew/view_unconfirmed.go
@@ -37,7 +37,7 @@
 
 // drop removes an entry from the view and remembers its incarnation.
 func (v *View) drop(e *entry, now time.Time, reason string) []Effect {
-	v.addTombstone(e, now)
+	v.addTombstone(e, true, now)
 	v.unset(e.target.id)
 	if !e.takesWork() {
 		return nil
@@ -86,7 +86,7 @@
 		case entry.withdrawn:
 			v.tombstones.drop(entry.target)
 			next := *entry
-			next.withdrawn = false
+			next.withdrawn, next.returned = false, false
 			out = append(out, v.replace(&next)...)
 		}
 	}
--- a/crew/view_withdrawn.go
+++ b/crew/view_withdrawn.go
@@ -48,7 +48,7 @@
 		if same && old.rewritten && (!w.Final || old.target.restartedSince(w.Target)) {
 			continue
 		}
-		v.tombstones.add(tombstone{target: w.Target, revision: w.Revision, final: w.Final, at: e.At})
+		v.tombstones.add(tombstone{target: w.Target, revision: w.Revision, final: w.Final, removed: true, at: e.At})
 		if !same {
 			continue
 		}
--- a/plan/service.go
+++ b/plan/service.go
@@ -11,6 +11,8 @@
 	coldTime time.Duration
 	// coldRate is how many requests a second a cold target takes.
 	coldRate float64
+	// healthPath is the path of health checks; "" for a service without them.
+	healthPath string
 }
 
 // Engine holds the properties that the model engines of a service have in
@@ -75,6 +77,15 @@
 	return s
 }
 
+// WithHealthPath returns the service with a path of health checks.
+func (s Service) WithHealthPath(path string) Service {
+	s.healthPath = path
+	return s
+}
+
+// HealthPath returns the path of health checks; "" if targets have none.
+func (s Service) HealthPath() string { return s.healthPath }
+
 // ColdTime returns how long a target is cold after it starts; 0 if the service has no cold start.
 func (s Service) ColdTime() time.Duration { return s.coldTime }
 
