soak: heartbeats that the store performs after their target has left

Targets are now also replaced without a word, and a heartbeat of each is performed 0.5 to 2.5 s later; no request may reach them more than 2 s after their removal.

--- a/cmd/soak/fleet/changes.go
+++ b/cmd/soak/fleet/changes.go
@@ -111,28 +111,34 @@
 	if err := h.addTarget(old.Service); err != nil {
 		return err
 	}
-	h.mu.Lock()
-	for i, t := range h.targets {
-		if t == old {
-			h.targets = append(h.targets[:i:i], h.targets[i+1:]...)
-			break
-		}
-	}
-	h.mu.Unlock()
+	h.forget(old)
 	if random.IntN(2) == 0 {
 		old.SetLeaving(true)
 		h.record(old.ID + " states that it is leaving")
 		time.Sleep(changeInterval)
 	}
+	h.remove(old, random.IntN(2) == 0)
+	return nil
+}
+
+// forget takes a target out of those that are in use.
+func (h *Harness) forget(old *platformtest.Target) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.targets = slices.DeleteFunc(slices.Clone(h.targets), func(t *platformtest.Target) bool { return t == old })
+}
+
+// remove removes a target, whose entry stays and says so if it is draining.
+func (h *Harness) remove(old *platformtest.Target, draining bool) {
 	h.registryMu.Lock()
 	defer h.registryMu.Unlock()
 	h.mu.Lock()
-	h.draining[old] = random.IntN(2) == 0
+	h.draining[old] = draining
 	h.removed[old] = time.Now()
 	h.mu.Unlock()
+	old.SetHealth(platformtest.Unhealthy)
 	h.putRemoved(old)
 	h.record(old.ID + " removed")
-	return nil
 }
 
 func (h *Harness) randomTarget(random *rand.Rand) *platformtest.Target {
--- a/cmd/soak/fleet/check.go
+++ b/cmd/soak/fleet/check.go
@@ -84,6 +84,7 @@
 	if h.hardLoad {
 		violations = append(violations, h.checkCold()...)
 		violations = append(violations, h.checkDeadly()...)
+		violations = append(violations, h.checkReturned()...)
 	}
 	violations = append(violations, checkSoftwareVersions(targets)...)
 	return append(violations, h.checkRemoved()...)
--- a/cmd/soak/fleet/contact.go
+++ b/cmd/soak/fleet/contact.go
@@ -21,6 +21,10 @@
 
 // inTouch reports whether a router was in touch at a time.
 func (c contact) inTouch(r *Router, at time.Time) bool {
-	since := at.Add(-contactTime)
-	return r.ranBetween(since, at) && r.storeLink.quietBetween(since, at) && c.storeFaults.quietBetween(since, at)
+	return c.inTouchBetween(r, at.Add(-contactTime), at)
+}
+
+// inTouchBetween reports whether a router ran and reached the store all the time.
+func (c contact) inTouchBetween(r *Router, since, until time.Time) bool {
+	return r.ranBetween(since, until) && r.storeLink.quietBetween(since, until) && c.storeFaults.quietBetween(since, until)
 }
--- a/cmd/soak/fleet/run.go
+++ b/cmd/soak/fleet/run.go
@@ -31,6 +31,8 @@
 	crowdStream = 1<<20 + 5
 	// deadlyStream is that of SendDeadlyParts.
 	deadlyStream = 1<<20 + 6
+	// lateStream is that of LateHeartbeats.
+	lateStream = 1<<20 + 7
 )
 
 // Report is the result of a run.
@@ -109,7 +111,7 @@
 func (h *Harness) startChanges(seed uint64, length time.Duration) (wait func() error) {
 	end := time.Now().Add(length)
 	var changes sync.WaitGroup
-	var reconfigureErr, deadlyErr error
+	var reconfigureErr, deadlyErr, lateErr error
 	changes.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
 	changes.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
 	changes.Go(func() { h.KillAllRouters(rand.New(rand.NewPCG(seed, killAllStream)), length) })
@@ -118,11 +120,12 @@
 		changes.Go(func() { h.CoolTargets(rand.New(rand.NewPCG(seed, coldStream)), end) })
 		changes.Go(func() { h.violate(h.CrowdRouter(rand.New(rand.NewPCG(seed, crowdStream)), length)...) })
 		changes.Go(func() { h.EvacuatePlaces(rand.New(rand.NewPCG(seed, evacuateStream)), end) })
+		changes.Go(func() { lateErr = h.LateHeartbeats(rand.New(rand.NewPCG(seed, lateStream)), end) })
 		changes.Go(func() { deadlyErr = h.SendDeadlyParts(rand.New(rand.NewPCG(seed, deadlyStream)), end) })
 	}
 	return func() error {
 		changes.Wait()
-		return errors.Join(reconfigureErr, deadlyErr)
+		return errors.Join(reconfigureErr, deadlyErr, lateErr)
 	}
 }
 
