--- a/cmd/mutants/mutant.go
+++ b/cmd/mutants/mutant.go
@@ -71,7 +71,8 @@
 	return err != nil, nil
 }
 
-func (m mutant) writeOverlay(dir string) (string, error) {
+// changed returns the text of the file with the change.
+func (m mutant) changed() (string, error) {
 	text, err := os.ReadFile(m.file)
 	if err != nil {
 		return "", err
@@ -79,8 +80,16 @@
 	if n := strings.Count(string(text), m.old); n != 1 {
 		return "", fmt.Errorf("%s: %q occurs %d times, want once", m.file, m.old, n)
 	}
+	return strings.Replace(string(text), m.old, m.new, 1), nil
+}
+
+func (m mutant) writeOverlay(dir string) (string, error) {
+	text, err := m.changed()
+	if err != nil {
+		return "", err
+	}
 	changed := filepath.Join(dir, "changed.go")
-	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), m.old, m.new, 1)), 0o600); err != nil {
+	if err := os.WriteFile(changed, []byte(text), 0o600); err != nil {
 		return "", err
 	}
 	path, err := filepath.Abs(m.file)
