gateway: health checks of returned targets end with the router

The pauses between health checks end when the router stops, as other loops do, and the error says what is known: the response isn't from the target. No change of behaviour else.

--- a/cmd/router/gateway/returned.go
+++ b/cmd/router/gateway/returned.go
@@ -40,7 +40,7 @@
 			return
 		}
 		if g.evacuations.has(t.Place()) {
-			time.Sleep(healthInterval)
+			sleep(g.stopping.ended, healthInterval)
 			continue
 		}
 		response, err := g.checkHealth(t)
@@ -57,7 +57,7 @@
 			g.updateView(crew.Verified{Target: t})
 			return
 		}
-		time.Sleep(healthInterval/2 + rand.N(healthInterval))
+		sleep(g.stopping.ended, healthInterval/2+rand.N(healthInterval))
 	}
 }
 
@@ -106,7 +106,7 @@
 	_ = response.Body.Close()
 	out := platform.ReadResponse(response)
 	if !out.From(t.ID()) {
-		return platform.Response{}, fmt.Errorf("Gateway.checkHealth: status %d of another target", out.Status())
+		return platform.Response{}, fmt.Errorf("Gateway.checkHealth: status %d, not from the target", out.Status())
 	}
 	return out, nil
 }
