--- a/cmd/demo/crowd/endless_target_test.go
+++ b/cmd/demo/crowd/endless_target_test.go
@@ -131,13 +131,21 @@
 			}
 			continue
 		}
-		head := ""
-		for _, id := range []string{"X-Attempt-Id", "X-Request-Id"} {
-			if v := r.Header.Get(id); v != "" {
-				head += id + ": " + v + "\r\n"
-			}
-		}
-		_ = t.respond(c, head)
+		_ = t.respond(c, headFor(r))
 		return
 	}
 }
+
+// headFor returns the header lines with the ids of a request, and the proof that the users' platform wants.
+func headFor(r *http.Request) string {
+	head := ""
+	for _, id := range []string{"X-Attempt-Id", "X-Request-Id"} {
+		if v := r.Header.Get(id); v != "" {
+			head += id + ": " + v + "\r\n"
+		}
+	}
+	if r.Header.Get("X-Attempt-Id") != "" {
+		head += "X-Response-Seal: s\r\n"
+	}
+	return head
+}
