--- /dev/null
+++ b/review/standin-3/cases.go
@@ -0,0 +1,6 @@
+package main
+
+// cases are the subcommands that play a case.
+var cases = map[string]play{
+	"restart-order": restartOrder,
+}
