--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -3,4 +3,5 @@
 // cases are the subcommands that play a case.
 var cases = map[string]play{
 	"restart-order": restartOrder,
+	"late-drain":    lateDrain,
 }
