--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -4,4 +4,5 @@
 var cases = map[string]play{
 	"restart-order": restartOrder,
 	"late-drain":    lateDrain,
+	"taken-up":      takenUp,
 }
--- a/review/standin-3/manifest.go
+++ b/review/standin-3/manifest.go
@@ -44,3 +44,13 @@
 	}
 	return out
 }
+
+func engineService(name string) map[string]any {
+	s := plainService(name)
+	s["inference_engine"] = map[string]any{
+		"slots": 64, "kv_capacity": 545002, "kv_token_bytes": 18432, "link_mbps": 180000.0, "migrations": true, "replicas": true,
+		"stride": 5, "most": 2, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_ttl_s": 5.0,
+		"model_list": []any{map[string]any{"name": "m"}},
+	}
+	return s
+}
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -317,7 +318,8 @@
 	body    []byte
 	events  []event
 	// leaving says that the worker stated in the answer that it is leaving.
-	leaving bool
+	leaving    bool
+	retryAfter float64
 	// whole says that the answer came to its end.
 	whole bool
 	err   error
@@ -369,6 +371,7 @@
 	}
 	defer response.Body.Close()
 	a.status = response.StatusCode
+	a.retryAfter, _ = strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	a.leaving = response.Header.Get("Server-Leaving") == "1"
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
 		a.events, a.err = readEvents(response.Body)
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -33,10 +35,14 @@
 	active   atomic.Int64
 	// reports gets what the worker ran; "" reports nothing.
 	reports string
+	// prefillRate is how many prompt tokens an engine reads in a millisecond, one prompt after the
+	// other; 0 for a worker that is none.
+	prefillRate float64
+	prefill     sync.Mutex
 }
 
 // firstPiece is the time to the first event of a run.
-const firstPiece = 5 * time.Millisecond
+const firstPiece = 16 * time.Millisecond
 
 func runWorker(args []string) {
 	w := &worker{born: time.Now().UnixMilli()}
@@ -52,6 +58,7 @@
 	f.IntVar(&w.pieces, "pieces", 20, "events of a stream")
 	f.DurationVar(&w.piece, "piece", 150*time.Millisecond, "time between events")
 	f.DurationVar(&w.work, "work", 30*time.Millisecond, "time of a plain request")
+	f.Float64Var(&w.prefillRate, "prefill-rate", 0, "prompt tokens read in a millisecond")
 	f.DurationVar(&w.beat, "beat", 1200*time.Millisecond, "time between entries")
 	linger := f.Duration("linger", 4*time.Second, "time from draining to the end")
 	_ = f.Parse(args)
@@ -161,6 +168,7 @@
 	out.Header().Set("Content-Type", "text/event-stream")
 	out.Header().Set("X-Weight-Versions", "1")
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.readPrompt(r)
 	for n := last + 1; n <= w.pieces; n++ {
 		pause := w.piece
 		if n == last+1 {
@@ -179,6 +187,18 @@
 	}
 }
 
+// readPrompt takes the time to read the prompt of a request, after those before it.
+func (w *worker) readPrompt(r *http.Request) {
+	if w.prefillRate == 0 {
+		return
+	}
+	text, _, _ := strings.Cut(r.Header.Get("X-Token-Count"), ",")
+	tokens, _ := strconv.ParseFloat(text, 64)
+	w.prefill.Lock()
+	defer w.prefill.Unlock()
+	time.Sleep(time.Duration(tokens / w.prefillRate * float64(time.Millisecond)))
+}
+
 func (w *worker) json(out http.ResponseWriter, body any) {
 	text, _ := json.Marshal(body)
 	out.Header().Set("Content-Type", "application/json")
