--- a/review/standin-3/case_taken_up.go
+++ b/review/standin-3/case_taken_up.go
@@ -79,10 +79,10 @@
 		}
 		answers[a.status]++
 	}
-	for n := range 500 {
+	for n := range 600 {
 		clients.Add(1)
 		go client(n)
-		if n == 300 && s.trouble {
+		if n == 360 && s.trouble {
 			now := time.Now()
 			killedAt.Store(&now)
 			for _, r := range s.routers[:takenUpKilled] {
@@ -97,7 +97,7 @@
 				}
 			})
 		}
-		time.Sleep(15 * time.Millisecond)
+		time.Sleep(12 * time.Millisecond)
 	}
 	clients.Wait()
 	mu.Lock()
