--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -35,6 +35,10 @@
 	active   atomic.Int64
 	// reports gets what the worker ran; "" reports nothing.
 	reports string
+	// failEvery makes it answer every so many requests that it ran with a status 503 of its own, which doesn't
+	// state that the request was not run, and failBytes is the length of that answer; 0 is never.
+	failEvery, failBytes int
+	runs                 atomic.Int64
 	// prefillRate is how many prompt tokens an engine reads in a millisecond, one prompt after the
 	// other; 0 for a worker that is none.
 	prefillRate float64
@@ -58,6 +62,8 @@
 	f.IntVar(&w.pieces, "pieces", 20, "events of a stream")
 	f.DurationVar(&w.piece, "piece", 150*time.Millisecond, "time between events")
 	f.DurationVar(&w.work, "work", 30*time.Millisecond, "time of a plain request")
+	f.IntVar(&w.failEvery, "fail-every", 0, "every which request is answered 503 after it has run")
+	f.IntVar(&w.failBytes, "fail-bytes", 0, "length of that answer")
 	f.Float64Var(&w.prefillRate, "prefill-rate", 0, "prompt tokens read in a millisecond")
 	f.DurationVar(&w.beat, "beat", 1200*time.Millisecond, "time between entries")
 	linger := f.Duration("linger", 4*time.Second, "time from draining to the end")
@@ -151,6 +157,12 @@
 	select {
 	case <-time.After(w.work):
 		w.stateLeaving(h)
+		if w.failEvery > 0 && w.runs.Add(1)%int64(w.failEvery) == 0 {
+			h.Set("Content-Length", strconv.Itoa(w.failBytes))
+			out.WriteHeader(http.StatusServiceUnavailable)
+			_, _ = out.Write(bytes.Repeat([]byte("x"), w.failBytes))
+			return
+		}
 		w.json(out, map[string]any{"attempt": attempt, "server": w.id, "born": w.born, "version": w.version})
 	case <-r.Context().Done():
 	}
