--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -414,15 +414,3 @@
 	s.log.printf("worker %s starts with version %s at %s", id, version, address)
 	return s.spawn(id, s.self, args...)
 }
-
-// awaitWorker waits until a worker listens.
-func awaitWorker(address string) error {
-	for range 200 {
-		c, err := net.Dial("tcp", address)
-		if err == nil {
-			return c.Close()
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	return fmt.Errorf("no worker listens at %s", address)
-}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -29,10 +29,6 @@
 	// lose tells of an entry that a worker writes whether the call gets no answer and
 	// is performed later, and how much later. nil loses none.
 	lose func(id string, entry map[string]any) (after time.Duration, lost bool)
-	// down makes the store answer nothing.
-	down bool
-	// cut has the addresses of callers that the store rejects.
-	reject func(remote string) bool
 	// afterBeat is called when a worker's entry was written.
 	afterBeat func(id string, entry map[string]any)
 }
@@ -73,17 +69,9 @@
 	return nil
 }
 
-// guard adds the era to all answers, and answers nothing while the store is down.
+// guard adds the era to all answers.
 func (s *store) guard(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.mu.Lock()
-		down := s.down
-		rejects := s.reject != nil && s.reject(r.RemoteAddr)
-		s.mu.Unlock()
-		if down || rejects {
-			<-r.Context().Done()
-			return
-		}
 		time.Sleep(answerTime)
 		w.Header().Set("Store-Era", "1")
 		w.Header().Set("Content-Type", "application/json")
@@ -91,12 +79,6 @@
 	})
 }
 
-func (s *store) setDown(down bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = down
-}
-
 // write sets rows, or removes those without a value, in one transaction. The caller holds mu.
 func (s *store) write(names []rowName) {
 	s.version++
@@ -122,13 +104,6 @@
 	return s.version
 }
 
-// remove removes one row.
-func (s *store) remove(table, key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.write([]rowName{{Table: table, Key: key}})
-}
-
 func (s *store) answer(w http.ResponseWriter, status int, body map[string]any) {
 	body["now_ms"] = time.Since(s.started).Milliseconds()
 	text, _ := json.Marshal(body)
