--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -25,6 +27,8 @@
 	changed chan struct{}
 	version uint64
 	rows    map[string]map[string]*row
+	// entries are those of the workers, without their sequence.
+	entries map[string]map[string]any
 	started time.Time
 	// lose tells of an entry that a worker writes whether the call gets no answer and
 	// is performed later, and how much later. nil loses none.
@@ -51,7 +55,7 @@
 }
 
 func newStore(log *record) *store {
-	return &store{log: log, changed: make(chan struct{}), rows: map[string]map[string]*row{}, started: time.Now()}
+	return &store{log: log, changed: make(chan struct{}), rows: map[string]map[string]*row{}, entries: map[string]map[string]any{}, started: time.Now()}
 }
 
 func (s *store) listen() error {
@@ -226,8 +230,18 @@
 	s.mu.Unlock()
 }
 
+// perform writes the entry of a worker, unless only its sequence has changed.
 func (s *store) perform(id string, entry map[string]any, late bool) {
-	version := s.put("servers", id, entry)
+	shown := maps.Clone(entry)
+	delete(shown, "sequence")
+	s.mu.Lock()
+	same := s.entries[id] != nil && maps.EqualFunc(s.entries[id], shown, func(a, b any) bool { return fmt.Sprint(a) == fmt.Sprint(b) })
+	s.entries[id] = shown
+	version := s.version
+	s.mu.Unlock()
+	if !same {
+		version = s.put("servers", id, entry)
+	}
 	if late {
 		s.log.printf("store: performs the late entry of %s: born %v, version %v, state %v, row version %d",
 			id, entry["born"], entry["version"], entry["state"], version)
