--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/standin-3"
 mkdir -p ../../target
-GOWORK=off GOTOOLCHAIN=local GOFLAGS=-mod=readonly go build -o ../../target/standin-3 .
+GOWORK=off GOTOOLCHAIN=local GOFLAGS=-mod=readonly go build -buildvcs=false -o ../../target/standin-3 .
--- a/review/standin-3/case_taken_up.go
+++ b/review/standin-3/case_taken_up.go
@@ -12,8 +12,8 @@
 	takenUpRouters = 4
 	// takenUpKilled is the number of routers that are killed: herd_kill, share 0.55 at most.
 	takenUpKilled = 2
-	// restartAfter is when they start again: herd_kill, for_s = 2.0.
-	restartAfter = 2 * time.Second
+	// restartAfter is when they start again: herd_kill, for_s = 2.0 at most.
+	restartAfter = 1800 * time.Millisecond
 	// streamLimit is the time limit of a stream.
 	streamLimit = 15 * time.Second
 	// minTakenUp is from how many streams on the rule holds.
