gateway: tests wait until their router serves callers

Seen: a test of case review/11 got "503, no routing table yet" from a router for which waitReady had waited: once in a run of all its cases, then in 8 of 200 runs. Cause: waitReady looked at the table and the targets, but a router also reads what crashes targets before it serves (mayServe). Change: waitReady waits for that too, so no test asks for less.

--- a/cmd/router/gateway/harness_test.go
+++ b/cmd/router/gateway/harness_test.go
@@ -158,10 +158,10 @@
 	return out
 }
 
-// waitReady waits until the router has a routing table and that many targets.
+// waitReady waits until the router serves callers by a routing table and has that many targets.
 func (tr *testRouter) waitReady(targets int) {
 	require.Eventually(tr.t, func() bool {
-		return tr.g.table.Load() != nil && len(tr.g.upstreams.Load().byIncarnation) == targets
+		return tr.g.mayServe() && tr.g.table.Load() != nil && len(tr.g.upstreams.Load().byIncarnation) == targets
 	}, waitTimeout, pollInterval)
 }
 
