gateway: a failure of a target is judged before any of it is sent on, whatever its length

Cause: handleResponse and handleRelayed compared the status with the statuses that promise "not run" only after bufferResponse, and sent a response that can't be buffered on before that. So every such status was passed on as the target wrote it if the body was over 1 MiB, whether with a length, in chunks or up to the end of the connection, for plain requests and streams alike; and with a body of any length, also none, while held memory was full.

Change: what follows from the status is decided before anything is sent. A failure counts against the target and is tried again where it may be, also a long one (500s were passed on at once and never counted), and a status 408 or 429 of the target's own counts as a failure as 503 does. A long response that the target breaks off counts against it, and a whole one for it.

--- a/cmd/router/gateway/bench_test.go
+++ b/cmd/router/gateway/bench_test.go
@@ -47,7 +47,7 @@
 			tr := newTestRouter(b)
 			tr.addTargets(plainService, "p1")
 			tr.waitReady(1)
-			address := serveEntry(b, tr.g)
+			address := serveEntry(b, tr.g, intake.NewAccount(intake.DefaultLimits(136<<20)))
 			body := strings.Repeat("x", size)
 			client := &http.Client{}
 			i := 0
@@ -70,15 +70,15 @@
 }
 
 // serveEntry serves callers like the entry listener of a router.
-func serveEntry(b *testing.B, g *Gateway) (address string) {
-	address = freeAddress(b)
+func serveEntry(t testing.TB, g *Gateway, account *intake.Account) (address string) {
+	address = freeAddress(t)
 	server, err := reception.NewServer("entry", address, reception.WithHandler(g), reception.WithConnLimits(g),
-		reception.WithIntake(reception.NewIntake(intake.NewAccount(intake.DefaultLimits(136<<20)), nil)))
+		reception.WithIntake(reception.NewIntake(account, nil)))
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
 	go func() { _ = server.Serve() }()
-	b.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
 	for range 100 {
 		if c, err := net.Dial("tcp4", address); err == nil {
 			_ = c.Close()
@@ -86,7 +86,7 @@
 		}
 		time.Sleep(pollInterval)
 	}
-	b.Fatal("the server doesn't listen")
+	t.Fatal("the server doesn't listen")
 	return ""
 }
 
--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -27,36 +27,52 @@
 		return t.handleNoStream(u, o)
 	}
 	body, whole, err := t.bufferResponse(o.response)
-	if !whole {
-		t.streamBody(o, body)
-		return false
+	if whole {
+		t.releaseConn(o, err)
 	}
-	t.releaseConn(o, err)
 	if err != nil {
 		return t.handleNoResponse(ctx, u, noResponse{cause: fmt.Errorf("body: %w", err), begun: true})
 	}
-	if o.meta.Status() >= http.StatusInternalServerError {
-		t.recordFailure(u, responseFailureWeight)
-		if t.route.Retryable() && t.mayRetry() {
-			t.detail = "status " + strconv.Itoa(o.meta.Status())
-			t.logAttempt("target failed", nil)
-			return true
-		}
-	} else {
-		t.completed = true
-		t.observeServed(o.meta.Status())
-		t.recordSuccess(u)
-		if !o.meta.ImpliesNotRun() {
-			t.recordSound()
-		}
+	if failed(o) {
+		return t.handleFailed(ctx, u, o, body, whole)
+	}
+	if !whole {
+		t.streamBody(ctx, u, o, body)
+		return false
+	}
+	t.completed = true
+	t.observeServed(o.meta.Status())
+	t.recordSuccess(u)
+	t.recordSound()
+	t.writeResponse(o, body)
+	return false
+}
+
+// failed reports whether a response is a failure of the target. One with a status which callers take to mean that
+// the request was not executed is too, as the target did not state that.
+func failed(o responded) bool {
+	return o.meta.Status() >= http.StatusInternalServerError || o.meta.ImpliesNotRun()
+}
+
+// handleFailed handles a failure, of which body was read. It returns true if another target may be tried.
+func (t *transaction) handleFailed(ctx context.Context, u *upstream, o responded, body []byte, whole bool) bool {
+	t.recordFailure(u, responseFailureWeight)
+	if t.route.Retryable() && t.mayRetry() {
+		t.dropPart(o, body, whole)
+		t.detail = "status " + strconv.Itoa(o.meta.Status())
+		t.logAttempt("target failed", nil)
+		return true
 	}
 	if o.meta.ImpliesNotRun() {
-		// Callers take this status to mean that the request was not executed,
-		// which the target did not state.
+		t.dropPart(o, body, whole)
 		t.detail = "status " + strconv.Itoa(o.meta.Status())
 		t.reject(&rejection{status: http.StatusBadGateway, reason: "target failed without saying that it did not run the request"})
 		return false
 	}
+	if !whole {
+		t.streamBody(ctx, u, o, body)
+		return false
+	}
 	t.writeResponse(o, body)
 	return false
 }
@@ -93,6 +109,14 @@
 	t.abort(reason, nil)
 }
 
+// dropPart gives up a response of which body was read, and closes its connection unless that is the whole.
+func (t *transaction) dropPart(o responded, body []byte, whole bool) {
+	reception.ReleaseResponse(t.r, cap(body))
+	if !whole {
+		t.dropResponse(o)
+	}
+}
+
 // dropResponse closes the connection of a response whose body isn't read.
 func (t *transaction) dropResponse(o responded) {
 	o.stopWatch()
@@ -113,8 +137,8 @@
 }
 
 // streamBody sends a long response to the caller as it arrives. prefix is the
-// part of the body that was read already.
-func (t *transaction) streamBody(o responded, prefix []byte) {
+// part of the body that was read already. u is nil if a peer relays the response.
+func (t *transaction) streamBody(ctx context.Context, u *upstream, o responded, prefix []byte) {
 	t.dropBody()
 	h := t.w.Header()
 	t.copyHeaders(o)
@@ -122,15 +146,24 @@
 		h.Set("Content-Length", strconv.FormatInt(o.response.ContentLength, 10))
 	}
 	t.w.WriteHeader(o.meta.Status())
-	_, err := t.w.Write(prefix)
+	_, err := callerWriter{t.w}.Write(prefix)
 	if err == nil {
 		reception.ReleaseResponse(t.r, len(prefix))
-		_, err = io.Copy(t.w, o.response.Body)
+		_, err = io.Copy(callerWriter{t.w}, o.response.Body)
 	}
 	t.releaseConn(o, err)
 	if err != nil {
+		t.abortIfCallerGone(err)
+		if u != nil && ctx.Err() == nil {
+			t.recordFailure(u, responseFailureWeight)
+			t.recordCrash(u, true, err)
+		}
 		t.abort("body", err)
 	}
+	if u != nil && !failed(o) {
+		t.recordSuccess(u)
+		t.recordSound()
+	}
 	t.logEnd(o.meta.Status(), "answered", nil)
 }
 
--- a/cmd/router/gateway/relay.go
+++ b/cmd/router/gateway/relay.go
@@ -84,7 +84,7 @@
 	case noResponse:
 		return t.handleRelayBroken("no answer", o.cause)
 	case responded:
-		return t.handleRelayed(o)
+		return t.handleRelayed(ctx, o)
 	}
 	return false
 }
@@ -156,7 +156,7 @@
 
 // handleRelayed sends the response that a peer relayed to the caller. It returns true if another
 // peer may be tried.
-func (t *transaction) handleRelayed(o responded) bool {
+func (t *transaction) handleRelayed(ctx context.Context, o responded) bool {
 	t.g.withdrawRelayed(leavingTarget(o.response.Header), t.req.ID())
 	if o.response.Header.Get(unreachableHeader) != "" {
 		t.releaseConn(o, discardBody(o.response.Body))
@@ -172,21 +172,23 @@
 		t.breakOff(o, "peer rejected the request")
 	}
 	body, whole, err := t.bufferResponse(o.response)
-	if !whole {
-		t.countRelay("answered")
-		t.streamBody(o, body)
-		return false
+	if whole {
+		t.releaseConn(o, err)
 	}
-	t.releaseConn(o, err)
 	if err != nil {
 		return t.handleRelayBroken("no answer", fmt.Errorf("body: %w", err))
 	}
 	t.countRelay("answered")
+	t.mayHaveRun = t.mayHaveRun || o.meta.ByTarget() || !o.meta.ImpliesNotRun()
 	if t.mayHaveRun && o.meta.ImpliesNotRun() {
+		t.dropPart(o, body, whole)
 		t.fail(&rejection{status: http.StatusBadGateway, reason: "peer rejected the request, status " + strconv.Itoa(o.meta.Status())})
 		return false
 	}
-	t.mayHaveRun = !o.meta.ImpliesNotRun()
+	if !whole {
+		t.streamBody(ctx, nil, o, body)
+		return false
+	}
 	t.writeResponse(o, body)
 	return false
 }
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -76,6 +76,18 @@
 // Unwrap returns the cause.
 func (e *callerWriteError) Unwrap() error { return e.cause }
 
+// callerWriter writes to the caller. It returns a *callerWriteError.
+type callerWriter struct{ w io.Writer }
+
+// Write implements io.Writer.
+func (c callerWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	if err != nil {
+		return n, &callerWriteError{cause: err}
+	}
+	return n, nil
+}
+
 // copyEvents forwards complete events until the end of the stream. An incomplete
 // event is dropped. u is nil if a peer relays the stream, and records where it began.
 func (t *transaction) copyEvents(u *upstream, o responded, onFirstEvent func()) error {
@@ -126,8 +138,8 @@
 
 // writeEvents sends complete events to the caller.
 func (t *transaction) writeEvents(complete []byte) error {
-	if _, err := t.w.Write(complete); err != nil {
-		return &callerWriteError{cause: err}
+	if _, err := (callerWriter{t.w}).Write(complete); err != nil {
+		return err
 	}
 	if err := http.NewResponseController(t.w).Flush(); err != nil {
 		return &callerWriteError{cause: err}
--- a/cmd/router/gateway/unproven_response_test.go
+++ b/cmd/router/gateway/unproven_response_test.go
@@ -108,15 +108,19 @@
 	f.waitRelaying(t, "/once/x", plainService, 1)
 	f.waitRelaying(t, "/broken/x", engineService, 1)
 	f.routers[1].stopPeerServer()
-	page := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("It works!")) })
-	l, err := net.Listen("tcp4", f.routers[1].g.cfg.PeerAddress)
-	require.NoError(t, err)
-	server := &http.Server{Handler: page}
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { _ = server.Close() })
+	serveAt(t, f.routers[1].g.cfg.PeerAddress, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("It works!")) })
 	for _, path := range []string{"/once/x", "/broken/x"} {
 		w := f.routers[0].post(path, "a"+path[1:3], "work")
 		require.NoError(t, w.err)
 		require.Equal(t, http.StatusBadGateway, w.status, w.body)
 	}
 }
+
+// serveAt serves HTTP at an address.
+func serveAt(t *testing.T, address string, handler http.HandlerFunc) {
+	l, err := net.Listen("tcp4", address)
+	require.NoError(t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
