gateway: a connection isn't reused after a long refusal that wasn't read to its end

Callers saw: after a target had refused a request with a body over 1 MiB, the next non-idempotent request on the connection was answered 502; and 503, which promises that nothing ran, if the end of that body could be read as a refusal, although the target ran the request.

Cause: discardBody stops after 1 MiB without an error, so releaseConn took the body for read to its end. Release and the check of an idle connection see only bytes that have come already. Skipped responses to other requests have the same reader. Change: a body that has more than 1 MiB isn't read to its end, and its connection is closed.

--- a/cmd/router/gateway/exchange.go
+++ b/cmd/router/gateway/exchange.go
@@ -202,7 +202,17 @@
 	o.conn.Release(o.meta.KeepAliveTimeout(), t.g.clock.Now())
 }
 
+// unreadBodyError is returned for a body that is given up before its end, so that the rest of it may still come.
+type unreadBodyError struct{}
+
+// Error implements error.
+func (unreadBodyError) Error() string { return "the body is too long to be skipped" }
+
+// discardBody reads a body up to its end. It returns an unreadBodyError if that isn't reached.
 func discardBody(body io.Reader) error {
-	_, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBytes))
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBytes+1))
+	if err == nil && n > maxStrayBytes {
+		return unreadBodyError{}
+	}
 	return err
 }
