gateway: refusals log the prompt time they were decided by, and metrics have it

The log couldn't tell apart (1) a wrong time per token, (2) unread tokens that are never taken back, (3) a wait that the share of the workspace cuts short. A refusal's detail has the fewest unread tokens and the time for 1,000 tokens now, and there are a gauge of that time and a counter of what it was learned from.

--- a/cmd/router/gateway/choice.go
+++ b/cmd/router/gateway/choice.go
@@ -100,9 +100,9 @@
 		return &rejection{status: http.StatusServiceUnavailable, reason: pausedReason(in.candidates), retryAfter: d.RetryAfter}
 	case fitting.Overloaded:
 		req := in.request
-		t.detail = fmt.Sprintf("shortage=%s overuse=%.1f tokens=%d pace=%s left=%s goal=%s crowded=%s total=%d of=%d",
+		t.detail = fmt.Sprintf("shortage=%s overuse=%.1f tokens=%d pace=%s left=%s goal=%s crowded=%s total=%d of=%d unread=%d prefill=%s",
 			d.Shortage, req.Overuse, req.Work.KVTokens(false), req.ServiceTime, req.TimeLeft, req.Objective, req.OverloadedFor,
-			totalRequests(in.candidates), len(in.candidates))
+			totalRequests(in.candidates), len(in.candidates), leastUnread(in.candidates), req.PrefillTime)
 		return &rejection{status: http.StatusServiceUnavailable, reason: "service is full", retryAfter: d.RetryAfter}
 	}
 	return &rejection{status: http.StatusServiceUnavailable, reason: "no target", retryAfter: overloadRetryAfter}
@@ -171,6 +171,18 @@
 		c.Cached, c.Load.Requests(), c.Load.PrefillTokens(), len(candidates), totalRequests(candidates), suspects)
 }
 
+// leastUnread returns the smallest number of prompt tokens that a candidate has yet to read.
+func leastUnread(candidates []fitting.Candidate) int {
+	if len(candidates) == 0 {
+		return 0
+	}
+	least := candidates[0].Load.PrefillTokens()
+	for _, c := range candidates[1:] {
+		least = min(least, c.Load.PrefillTokens())
+	}
+	return least
+}
+
 // totalRequests returns the number of requests at all candidates.
 func totalRequests(candidates []fitting.Candidate) int {
 	n := 0
--- a/cmd/router/gateway/observe_capacity.go
+++ b/cmd/router/gateway/observe_capacity.go
@@ -150,6 +150,7 @@
 	keys := make(map[string][]capacity.TargetKey, len(usable.byService))
 	for service, upstreams := range usable.byService {
 		g.registerSlowness(service)
+		g.registerPrefillTime(service)
 		for _, u := range upstreams {
 			keys[service] = append(keys[service], u.capacityKey())
 		}
--- a/cmd/router/gateway/room.go
+++ b/cmd/router/gateway/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"vanillalug.example/cmd/router/meter"
@@ -53,9 +54,17 @@
 		return
 	}
 	tokens := t.room.ahead.PrefillTokens() + t.req.Work().PromptTokens()
+	meter.CountBy("prefill_observations", "service", t.service)
 	t.g.prefillTimes.Observe(t.service, tokens, t.g.clock.Now().Sub(t.sentAt))
 }
 
+// registerPrefillTime makes the metrics have the time that a thousand prompt tokens of a service take.
+func (g *Gateway) registerPrefillTime(service string) {
+	meter.Gauge("prefill_seconds_per_1000_tokens{service="+strconv.Quote(service)+"}", func() float64 {
+		return g.prefillTimes.PerThousand(service).Seconds()
+	})
+}
+
 // recordRefusal counts a request that is refused for want of room.
 func (t *transaction) recordRefusal(shortage fitting.Shortage, now time.Time) {
 	t.g.overloads.Rejected(t.service, now)
