gateway: only the first event of a new stream tells how long prompts take to read

Cause: the function that copyEvents calls for the first event was called with every read that brought complete events. One unread prompt then seemed to take longer than any stream may wait.

Change: copyEvents calls it once. Looked for beside it: a failure in place of a stream, whatever its status, was observed as a first event too, and so was a stream taken up again, for which the engine reads more than the prompt. Neither is now. What copyEvents does per event besides (pauses, progress, origin) is meant so or guarded.

TestPrefillTimesComeDown states how fast one late event is forgotten; it holds before, too.

--- a/cmd/router/gateway/deliver.go
+++ b/cmd/router/gateway/deliver.go
@@ -16,13 +16,13 @@
 const maxBufferedBody = 1 << 20
 
 // handleResponse sends a target's response to the caller. It returns true if
-// another target may be tried instead.
-func (t *transaction) handleResponse(ctx context.Context, u *upstream, o responded, onFirstEvent func()) bool {
+// another target may be tried instead. promptRead is called when the target has read the prompt.
+func (t *transaction) handleResponse(ctx context.Context, u *upstream, o responded, promptRead func()) bool {
 	t.mayHaveRun = true
 	if t.mayStream(o) {
-		return t.streamEvents(ctx, u, o, onFirstEvent)
+		return t.streamEvents(ctx, u, o, promptRead)
 	}
-	onFirstEvent()
+	promptRead()
 	if t.responseStarted {
 		return t.handleNoStream(u, o)
 	}
--- a/cmd/router/gateway/room.go
+++ b/cmd/router/gateway/room.go
@@ -8,7 +8,6 @@
 	"vanillalug.example/cmd/router/meter"
 	"vanillalug.example/fitting"
 	"vanillalug.example/peer"
-	"vanillalug.example/plan"
 	"vanillalug.example/share"
 )
 
@@ -47,10 +46,10 @@
 	return t.g.usage.Overuse(share.KeyOf(t.workspace), share.KeyOf(t.service), now)
 }
 
-// observePrefill records how long the target took for the prompts up to the first event, unless
-// the request may have waited for a slot.
+// observePrefill records how long the target took for the prompts up to the first event of a stream, unless the
+// request may have waited for a slot, or the target had to read the events of a stream that goes on as well.
 func (t *transaction) observePrefill() {
-	if t.route.Kind() != plan.Streaming || t.room.slots == 0 || t.room.ahead.Requests() >= t.room.slots {
+	if t.room.slots == 0 || t.room.ahead.Requests() >= t.room.slots || t.lastEventID != "" {
 		return
 	}
 	tokens := t.room.ahead.PrefillTokens() + t.req.Work().PromptTokens()
--- a/cmd/router/gateway/stream.go
+++ b/cmd/router/gateway/stream.go
@@ -14,8 +14,11 @@
 
 // streamEvents forwards events as they arrive. It returns true if the stream
 // broke off and may be resumed at another target.
-func (t *transaction) streamEvents(ctx context.Context, u *upstream, o responded, onFirstEvent func()) bool {
-	err := t.copyEvents(u, o, onFirstEvent)
+func (t *transaction) streamEvents(ctx context.Context, u *upstream, o responded, promptRead func()) bool {
+	err := t.copyEvents(u, o, func() {
+		t.observePrefill()
+		promptRead()
+	})
 	t.releaseConn(o, err)
 	if err == nil {
 		if t.responseStarted {
@@ -90,6 +93,7 @@
 
 // copyEvents forwards complete events until the end of the stream. An incomplete
 // event is dropped. u is nil if a peer relays the stream, and records where it began.
+// onFirstEvent is called once, before the first events are forwarded.
 func (t *transaction) copyEvents(u *upstream, o responded, onFirstEvent func()) error {
 	events := newEventBuffer(eventBufferSize)
 	held := heldEvents{t: t}
@@ -103,9 +107,11 @@
 		n, err := o.response.Body.Read(free)
 		complete := events.advance(n)
 		if len(complete) > 0 {
+			if empty {
+				onFirstEvent()
+			}
 			empty = false
 			t.observeEvents(complete)
-			onFirstEvent()
 			t.recordProgress(u, complete)
 			t.recordOrigin(u)
 			t.startResponse(o)
--- a/cmd/router/gateway/transaction.go
+++ b/cmd/router/gateway/transaction.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -177,15 +178,9 @@
 	load := t.occupyRoom(prefillTokens)
 	t.g.loads.AddLoad(u.key, load)
 	t.recordPlacement(u)
-	prefillDone := false
-	onFirstEvent := func() {
-		if !prefillDone {
-			prefillDone = true
-			t.g.loads.Add(u.key, 0, -prefillTokens)
-		}
-	}
+	promptRead := sync.OnceFunc(func() { t.g.loads.Add(u.key, 0, -prefillTokens) })
 	defer func() {
-		onFirstEvent()
+		promptRead()
 		t.releasePlace()
 		t.g.loads.AddLoad(u.key, t.room.load.Negative())
 		if t.completed {
@@ -213,7 +208,7 @@
 		return t.handleNoResponse(ctx, u, o)
 	case responded:
 		t.g.defects.RecordAlive(defect.TargetKey(u.key), t.sentAt)
-		return t.handleResponse(ctx, u, o, func() { t.observePrefill(); onFirstEvent() })
+		return t.handleResponse(ctx, u, o, promptRead)
 	}
 	return false
 }
--- a/fitting/memory_test.go
+++ b/fitting/memory_test.go
@@ -155,6 +155,33 @@
 	require.Zero(t, times.PerThousand("s"), "one observation")
 }
 
+// TestPrefillTimesComeDown guards against one late first event, of an engine that stood still, for which requests are
+// refused long after.
+func TestPrefillTimesComeDown(t *testing.T) {
+	const (
+		perThousand = 20 * time.Millisecond
+		standstill  = 1500 * time.Millisecond
+		// sound is how many first events later nothing of it is left to speak of.
+		sound = 50
+	)
+	for name, tokens := range map[string]int{"short prompts": 800, "long prompts": 12_000} {
+		t.Run(name, func(t *testing.T) {
+			times := NewPrefillTimes()
+			observe := func(n int) {
+				for i := range n {
+					tokens := tokens * (1 + i%3)
+					times.Observe("s", tokens, perThousand*time.Duration(tokens)/1000)
+				}
+			}
+			observe(sound)
+			usual := times.PerThousand("s")
+			times.Observe("s", tokens, standstill)
+			observe(sound)
+			require.InDelta(t, usual.Seconds(), times.PerThousand("s").Seconds(), usual.Seconds()/4)
+		})
+	}
+}
+
 // TestKVTokens guards against estimates above the maximum, and against counting cached parts.
 func TestKVTokens(t *testing.T) {
 	parts := []Part{NewPart(1, 700), NewPart(2, 300)}
