crew: an entry of an earlier run of a target isn't enough to send it requests

Cause: the view took any entry under an id for the present one. A run that the target had ended when it started again under its id has an entry, too, which the store performs late; it never drained, so it took work, under its earlier software version.

Ruled out as a rule: to drop the earlier entry. A target whose clock was set back writes the same entry and has to be used. So the view doesn't decide by the entry: while a later start is known under the id, of an entry or a tombstone, the target takes no work; the router asks it, at its health check and for its report, which states the start. It works when it states that start, when an entry of a later start comes (a heartbeat, 1.2 s), or when the entry has stayed for 10 s.

Related paths, each a case: changes, listings, a peer's changes, its withdrawn and unconfirmed targets, what a target says of its leaving before its entry is known, a removal between, entries without a start, equal starts after a drain, a copy of the registry. Without start times a lower count after an announced end may be a heartbeat from before: asked as well.

Tests changed: TestLeavingAnnounced held that b/1 is used after b/7 said that it leaves; b runs once at a time, so that was the fault. It checks an earlier announcement as before and the later one the other way round. "No start time, counted anew" in TestLeavingIsFinal is asked first. TestViewAgainstOracle also checks that no earlier run is used unasked. In TestChangesSinceConverges targets that drain say so when they are asked, as they do.

--- a/cmd/router/gateway/view.go
+++ b/cmd/router/gateway/view.go
@@ -182,8 +182,12 @@
 		g.log.Info("software version of a target learned", "target", e.Target.Incarnation(), "service", e.Target.Service(),
 			"software", e.Target.SoftwareVersion(), "revision", revision)
 	case crew.Returned:
-		g.log.Info("a target's entry is back after its removal; not used before it says that it serves", "target", e.Target.Incarnation(),
-			"service", e.Target.Service(), "revision", revision)
+		why := "a target's entry is back after its removal; not used before it says that it serves"
+		if e.Earlier {
+			why = "a target's entry may be of an earlier run; not used before it says that it serves as that"
+			meter.CountBy("earlier_entries", "service", e.Target.Service())
+		}
+		g.log.Info(why, "target", e.Target.Incarnation(), "service", e.Target.Service(), "revision", revision)
 	case crew.Unconfirmed:
 		g.log.Info("target lapsed while the store was away", "target", e.Target.Incarnation(), "revision", revision)
 	}
--- a/crew/change_log_test.go
+++ b/crew/change_log_test.go
@@ -56,6 +56,23 @@
 		ahead.Handle(first)
 		behind.Handle(first)
 		revision, now := uint64(1), start
+		// Each router asks targets that are back by itself; one that drains says so.
+		drained := map[string]bool{"b/1": true}
+		verify := func(v *View) {
+			for _, x := range v.All() {
+				if drained[x.Incarnation()] && v.AwaitsVerification(x) {
+					v.Handle(Leaving{At: now, Target: x})
+				}
+			}
+			verifyAll(v)
+		}
+		draw := func() Event {
+			change := drawChange(t, revision, now)
+			if c, ok := change.(Changed); ok && c.Target.State() == Draining {
+				drained[c.Target.Incarnation()] = true
+			}
+			return change
+		}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now = now.Add(500 * time.Millisecond)
 			switch rapid.IntRange(0, 9).Draw(t, "step") {
@@ -71,20 +88,19 @@
 					continue
 				}
 				behind.Handle(Delta{Digest: behind.Digest(), Changes: changes, Revision: ahead.Revision()})
-				// Each router verifies targets that are back by itself.
-				verifyAll(ahead)
-				verifyAll(behind)
+				verify(ahead)
+				verify(behind)
 				require.Equal(t, ahead.Usable(), behind.Usable())
 				require.Equal(t, ahead.Digest(), behind.Digest())
 				require.Equal(t, ahead.Revision(), behind.Revision())
 			case 5:
 				revision++
-				change := drawChange(t, revision, now)
+				change := draw()
 				ahead.Handle(change)
 				behind.Handle(change)
 			default:
 				revision++
-				ahead.Handle(drawChange(t, revision, now))
+				ahead.Handle(draw())
 			}
 		}
 	})
--- a/crew/entry.go
+++ b/crew/entry.go
@@ -16,6 +16,9 @@
 	// returned marks a withdrawn target whose entry is back after its removal: the target
 	// has to prove that it isn't leaving, as a late heartbeat may have written the entry.
 	returned bool
+	// earlier marks a returned target whose entry may be of an earlier run than one that is known: the
+	// target has to state its start as well.
+	earlier bool
 	// until is when an unconfirmed target is removed, and when a withdrawn one is
 	// used again.
 	until time.Time
@@ -42,6 +45,11 @@
 		(e.target.softwareVersion == o.target.softwareVersion || e.target.softwareVersion == "" || o.target.softwareVersion == "")
 }
 
+// sameStart reports whether both entries state the same start of a run under one id, whatever else they state.
+func (e *entry) sameStart(o *entry) bool {
+	return e.target.startMillis != 0 && e.target.Incarnation() == o.target.Incarnation()
+}
+
 // inherit takes over from an older entry of the same incarnation what stays valid.
 func (e *entry) inherit(old *entry) {
 	if old.target.state == Draining {
@@ -52,6 +60,9 @@
 	}
 	e.target.raiseCounts(old.target)
 	e.leaving = e.leaving || old.leaving
+	if old.earlier {
+		e.withdrawn, e.returned, e.earlier = true, true, true
+	}
 	if e.withdrawn && old.withdrawn {
 		e.until = old.until
 	}
@@ -59,6 +70,9 @@
 
 // reason says why the target takes no new work.
 func (e *entry) reason() string {
+	if e.earlier {
+		return "perhaps of an earlier run"
+	}
 	if e.returned {
 		return "back after its removal"
 	}
@@ -77,6 +91,8 @@
 		return append(leave(old, "restarted"), arrive(old, next)...)
 	}
 	switch {
+	case next.returned:
+		return append(leave(next, next.reason()), returned(next))
 	case !next.takesWork():
 		return leave(next, next.reason())
 	case old.unconfirmed && !next.unconfirmed:
@@ -93,11 +109,13 @@
 func arrive(old, next *entry) []Effect {
 	known := old != nil && old.returned && old.sameTarget(next)
 	if next.returned && !known {
-		return []Effect{Returned{Target: next.target}}
+		return []Effect{returned(next)}
 	}
 	return join(next)
 }
 
+func returned(e *entry) Effect { return Returned{Target: e.target, Earlier: e.earlier} }
+
 // join returns the effects of a target that takes work from now on, if it does.
 func join(e *entry) []Effect {
 	if !e.takesWork() {
--- a/crew/event.go
+++ b/crew/event.go
@@ -77,7 +77,7 @@
 	Target Target
 }
 
-// Verified reports that a target whose entry is back after its removal has said itself that it serves.
+// Verified reports that a returned target has said itself that it serves, and as the run that its entry is of.
 type Verified struct{ Target Target }
 
 // Tick reports the current time, so that unconfirmed targets expire.
@@ -118,9 +118,13 @@
 // Confirmed reports that the entry of an unconfirmed target is back.
 type Confirmed struct{ Target Target }
 
-// Returned reports that the entry of a target is back after its removal. The target takes no work until
-// a Verified event, or until its entry has stayed for withdrawnTime.
-type Returned struct{ Target Target }
+// Returned reports that the entry of a target is back after its removal, or with Earlier set that it may be of an
+// earlier run than one that is known. The target takes no work until a Verified event, or until its entry has stayed
+// for withdrawnTime.
+type Returned struct {
+	Target  Target
+	Earlier bool
+}
 
 // VersionLearned reports that the software version of a target, unknown before, is known.
 type VersionLearned struct{ Target Target }
--- a/crew/leaving_test.go
+++ b/crew/leaving_test.go
@@ -75,8 +75,22 @@
 			Changed{At: start, Target: noStart(5, "10.0.0.1:1"), Revision: rev(1)},
 			Leaving{At: at(1), Target: noStart(5, "10.0.0.1:1")},
 			Changed{At: at(2), Target: noStart(1, "10.0.0.1:1"), Revision: rev(2)},
+			Verified{Target: noStart(1, "10.0.0.1:1")},
 			Changed{At: at(3), Target: noStart(2, "10.0.0.1:1"), Revision: rev(3)},
 		}, []string{"c/0"}},
+		"no start time, an earlier heartbeat": {[]Event{
+			Changed{At: start, Target: noStart(5, "10.0.0.1:1"), Revision: rev(1)},
+			Leaving{At: at(1), Target: noStart(5, "10.0.0.1:1")},
+			Changed{At: at(2), Target: noStart(4, "10.0.0.1:1"), Revision: rev(2)},
+			Changed{At: at(3), Target: noStart(5, "10.0.0.1:1"), Revision: rev(3)},
+		}, nil},
+		"no start time, drains, then an earlier heartbeat, and it says that it leaves": {[]Event{
+			Changed{At: start, Target: noStart(5, "10.0.0.1:1"), Revision: rev(1)},
+			Changed{At: at(1), Target: NewTarget("c", "s", "10.0.0.1:1", WithState(Draining), WithSequence(6)), Revision: rev(2)},
+			Changed{At: at(2), Target: noStart(4, "10.0.0.1:1"), Revision: rev(3)},
+			Leaving{At: at(2), Target: noStart(4, "10.0.0.1:1")},
+			Tick{At: at(60)},
+		}, nil},
 		"no start time, at another address": {[]Event{
 			Changed{At: start, Target: noStart(5, "10.0.0.1:1"), Revision: rev(1)},
 			Leaving{At: at(1), Target: noStart(5, "10.0.0.1:1")},
--- a/crew/restore_test.go
+++ b/crew/restore_test.go
@@ -211,19 +211,28 @@
 // work, and that its next incarnation does.
 func TestLeavingAnnounced(t *testing.T) {
 	v := NewView()
-	v.Handle(Snapshot{Targets: []Target{target("a", 1, Ready), target("b", 1, Ready)}, Revision: rev(1)})
+	v.Handle(Snapshot{Targets: []Target{target("a", 1, Ready), target("b", 5, Ready)}, Revision: rev(1)})
 	digest := v.Digest()
 	effects := v.Handle(Leaving{Target: target("a", 1, Ready)})
 	require.Equal(t, []Effect{Left{Target: target("a", 1, Ready), Reason: "leaving"}}, effects)
-	require.Equal(t, []string{"b/1"}, usableIncarnations(v))
+	require.Equal(t, []string{"b/5"}, usableIncarnations(v))
 	require.Equal(t, digest, v.Digest(), "peers that were not told have the same registry")
 	require.Empty(t, v.Handle(Leaving{Target: target("a", 1, Ready)}))
 	v.Handle(Changed{Target: target("a", 1, Ready), Revision: rev(2)})
-	require.Equal(t, []string{"b/1"}, usableIncarnations(v), "the entry was written before the target announced it, or the target is wrong")
-	v.Handle(Leaving{Target: target("b", 7, Ready)})
-	require.Equal(t, []string{"b/1"}, usableIncarnations(v), "another incarnation")
+	require.Equal(t, []string{"b/5"}, usableIncarnations(v), "the entry was written before the target announced it, or the target is wrong")
+	v.Handle(Leaving{Target: target("b", 1, Ready)})
+	require.Equal(t, []string{"b/5"}, usableIncarnations(v), "an earlier incarnation")
 	v.Handle(Changed{Target: target("a", 2, Ready), Revision: rev(3)})
-	require.Equal(t, []string{"a/2", "b/1"}, usableIncarnations(v))
+	require.Equal(t, []string{"a/2", "b/5"}, usableIncarnations(v))
+	effects = v.Handle(Leaving{Target: target("b", 7, Ready)})
+	require.Equal(t, []Effect{
+		Left{Target: target("b", 5, Ready), Reason: "perhaps of an earlier run"}, Returned{Target: target("b", 5, Ready), Earlier: true},
+	}, effects)
+	require.Equal(t, []string{"a/2"}, usableIncarnations(v), "a later incarnation")
+	v.Handle(Changed{Target: target("b", 7, Ready), Revision: rev(4)})
+	require.Equal(t, []string{"a/2"}, usableIncarnations(v))
+	v.Handle(Changed{Target: target("b", 8, Ready), Revision: rev(5)})
+	require.Equal(t, []string{"a/2", "b/8"}, usableIncarnations(v))
 }
 
 // TestTombstonesAreBounded checks that the view forgets removed targets by number
--- a/crew/tombstones.go
+++ b/crew/tombstones.go
@@ -1,6 +1,7 @@
 package crew
 
 import (
+	"slices"
 	"time"
 
 	"vanillalug.example"
@@ -35,23 +36,40 @@
 }
 
 // tombstones are the incarnations that were removed from the registry lately.
-type tombstones struct{ byIncarnation map[string]tombstone }
+type tombstones struct {
+	byIncarnation map[string]tombstone
+	// starts has the starts of the incarnations by id.
+	starts map[string][]int64
+}
 
 // add remembers an incarnation, and what was known of it already.
 func (l *tombstones) add(x tombstone) {
 	if l.byIncarnation == nil {
 		l.byIncarnation = map[string]tombstone{}
+		l.starts = map[string][]int64{}
 	}
 	if old, known := l.get(x.target); known {
 		x.target.raiseCounts(old.target)
 		x.final = x.final || old.final
 		x.removed = x.removed || old.removed
-	} else if len(l.byIncarnation) >= maxTombstones {
-		l.dropOldest()
+	} else {
+		if len(l.byIncarnation) >= maxTombstones {
+			l.dropOldest()
+		}
+		l.starts[x.target.id] = append(l.starts[x.target.id], x.target.startMillis)
 	}
 	l.byIncarnation[x.target.Incarnation()] = x
 }
 
+// newestStart returns the latest start of an incarnation under an id; 0 if none is remembered.
+func (l *tombstones) newestStart(id string) int64 {
+	newest := int64(0)
+	for _, start := range l.starts[id] {
+		newest = max(newest, start)
+	}
+	return newest
+}
+
 // dropOldest makes room: it drops the oldest one, a final one only if all are.
 func (l *tombstones) dropOldest() {
 	oldest, found := "", false
@@ -60,7 +78,9 @@
 			oldest, found = incarnation, true
 		}
 	}
-	delete(l.byIncarnation, oldest)
+	if found {
+		l.drop(l.byIncarnation[oldest].target)
+	}
 }
 
 func (x tombstone) dropsBefore(o tombstone) bool {
@@ -75,12 +95,23 @@
 	return x, found
 }
 
-func (l *tombstones) drop(t Target) { delete(l.byIncarnation, t.Incarnation()) }
+func (l *tombstones) drop(t Target) {
+	if _, found := l.get(t); !found {
+		return
+	}
+	delete(l.byIncarnation, t.Incarnation())
+	left := slices.DeleteFunc(l.starts[t.id], func(start int64) bool { return start == t.startMillis })
+	if len(left) == 0 {
+		delete(l.starts, t.id)
+		return
+	}
+	l.starts[t.id] = left
+}
 
 func (l *tombstones) expire(now time.Time) {
-	for incarnation, x := range l.byIncarnation {
+	for _, x := range l.byIncarnation {
 		if now.Sub(x.at) >= tombstoneTime {
-			delete(l.byIncarnation, incarnation)
+			l.drop(x.target)
 		}
 	}
 }
--- a/crew/view.go
+++ b/crew/view.go
@@ -171,6 +171,7 @@
 // from where: a heartbeat may be performed late, or a peer may not know.
 func (v *View) upsert(next entry, now time.Time) []Effect {
 	old, known := v.entries[next.target.id]
+	earlier := v.earlier(&next)
 	if next.restarted {
 		v.tombstones.drop(next.target)
 	}
@@ -178,6 +179,12 @@
 		next.leaving = true
 		next.target.raiseCounts(x.target)
 	}
+	if known && old.final() && next.sameStart(old) {
+		next.leaving = true
+	}
+	if earlier && next.takesWork() {
+		next.doubt(now)
+	}
 	if known && old.sameTarget(&next) {
 		next.inherit(old)
 	}
--- a/crew/view_oracle_test.go
+++ b/crew/view_oracle_test.go
@@ -20,6 +20,9 @@
 		now, revision := start, uint64(0)
 		registry := map[string]Target{}
 		drained, removed := map[string]bool{}, map[string]bool{}
+		// newest has the start of the latest run that the view has heard of, by id, until an earlier one is verified
+		// or its entry has stayed for long.
+		newest := map[string]int64{}
 		startMillis := map[string]int64{"a": 1, "b": 1, "c": 1}
 		outage := false
 		pending := []Event{}
@@ -33,6 +36,7 @@
 				case Joined:
 					if _, late := e.(Tick); late {
 						delete(removed, x.Target.Incarnation())
+						newest[x.Target.ID()] = x.Target.StartMillis()
 					}
 				}
 			}
@@ -40,6 +44,7 @@
 				if x.State() == Draining {
 					drained[x.Incarnation()] = true
 				}
+				newest[x.ID()] = max(newest[x.ID()], x.StartMillis())
 			}
 			if len(effects) == 0 {
 				require.Equal(t, before, usableIncarnations(v), "change without an effect: %T", e)
@@ -107,6 +112,9 @@
 					return
 				}
 				delete(removed, x.Incarnation())
+				if v.AwaitsVerification(x) {
+					newest[x.ID()] = x.StartMillis()
+				}
 				handle(Verified{Target: x})
 			},
 			"lose registry": func(*rapid.T) { outage = true; handle(RegistryLost{At: now}) },
@@ -131,6 +139,9 @@
 					require.False(t, drained[incarnation], incarnation)
 					require.False(t, removed[incarnation], incarnation)
 				}
+				for _, x := range v.Usable()["s"] {
+					require.GreaterOrEqual(t, x.StartMillis(), newest[x.ID()], "an earlier run of %s", x.ID())
+				}
 			},
 		})
 		outage = false
--- a/crew/view_returned.go
+++ b/crew/view_returned.go
@@ -23,7 +23,7 @@
 	e.returned = true
 }
 
-// applyVerified lets a target take work whose entry is back after its removal.
+// applyVerified lets a returned target take work.
 func (v *View) applyVerified(e Verified) []Effect {
 	old, known := v.entries[e.Target.id]
 	if !known || !old.returned || old.target.Incarnation() != e.Target.Incarnation() {
@@ -31,12 +31,11 @@
 	}
 	v.tombstones.drop(e.Target)
 	next := *old
-	next.withdrawn, next.returned = false, false
+	next.trust()
 	return v.replace(&next)
 }
 
-// AwaitsVerification reports whether a target's entry is back after its removal and the target hasn't
-// been verified.
+// AwaitsVerification reports whether a target has returned and hasn't been verified.
 func (v *View) AwaitsVerification(t Target) bool {
 	e, known := v.entries[t.id]
 	return known && e.returned && e.target.Incarnation() == t.Incarnation()
--- a/crew/view_snapshot.go
+++ b/crew/view_snapshot.go
@@ -27,8 +27,13 @@
 		out = append(out, v.upsert(next, e.At)...)
 	}
 	for _, d := range e.Unconfirmed {
+		next := entry{target: d.Target, unconfirmed: true, until: e.At.Add(d.TimeLeft)}
+		if v.earlier(&next) {
+			// There is no entry that could be of a new run.
+			continue
+		}
 		listed[d.Target.id] = true
-		out = append(out, v.upsert(entry{target: d.Target, unconfirmed: true, until: e.At.Add(d.TimeLeft)}, e.At)...)
+		out = append(out, v.upsert(next, e.At)...)
 	}
 	v.log.clear()
 	for _, t := range v.All() {
--- a/crew/view_unconfirmed.go
+++ b/crew/view_unconfirmed.go
@@ -86,7 +86,7 @@
 		case entry.withdrawn:
 			v.tombstones.drop(entry.target)
 			next := *entry
-			next.withdrawn, next.returned = false, false
+			next.trust()
 			out = append(out, v.replace(&next)...)
 		}
 	}
--- a/crew/view_withdrawn.go
+++ b/crew/view_withdrawn.go
@@ -50,6 +50,7 @@
 		}
 		v.tombstones.add(tombstone{target: w.Target, revision: w.Revision, final: w.Final, removed: true, at: e.At})
 		if !same {
+			out = append(out, v.doubtEarlier(w.Target.id, e.At)...)
 			continue
 		}
 		next := *old
@@ -72,7 +73,7 @@
 	v.tombstones.add(tombstone{target: e.Target, revision: v.revision, final: true, at: e.At})
 	old, known := v.entries[e.Target.id]
 	if !known || old.target.Incarnation() != e.Target.Incarnation() {
-		return nil
+		return v.doubtEarlier(e.Target.id, e.At)
 	}
 	next := *old
 	next.leaving = true
