crew: a peer that gets a change learns that its target has drained

Cause: a view logs changes for its peers as the registry wrote them, and not with what it made of them. An entry whose run is known to have drained only by its tombstone kept the state "ready" as well. Change: such an entry counts as draining, as one does whose present entry has drained, and a change is logged as applied.

--- a/crew/view.go
+++ b/crew/view.go
@@ -126,7 +126,7 @@
 		}
 		out = append(out, v.applyChange(c)...)
 		if v.digest != before {
-			v.log.add(before, c)
+			v.log.add(before, v.asApplied(c))
 		}
 	}
 	return out
@@ -145,6 +145,19 @@
 	return out
 }
 
+// asApplied returns a change with what the view knew of the target besides: a peer that gets the change may not have
+// seen it drain.
+func (v *View) asApplied(change Event) Event {
+	c, ok := change.(Changed)
+	if !ok {
+		return change
+	}
+	if e, known := v.entries[c.Target.id]; known {
+		c.Target.state = e.target.state
+	}
+	return c
+}
+
 func (v *View) applyChange(c Event) []Effect {
 	switch c := c.(type) {
 	case Changed:
@@ -178,6 +191,9 @@
 	if x, found := v.tombstones.get(next.target); found && x.final {
 		next.leaving = true
 		next.target.raiseCounts(x.target)
+		if x.target.state == Draining {
+			next.target.state = Draining
+		}
 	}
 	if known && old.final() && next.sameStart(old) {
 		next.leaving = true
