office: a chat that an engine failed isn't called 'not run'

Callers saw: an engine responds 500 to a chat, or 408, and the caller is told run state "not-run" (503 no-engine, or 408 engine-refused), which promises that it was not and will not be run. The engine may have run it, and the caller sends it again.

Cause: each status but 4xx counted as the engine's refusal for want of room, and 408 as one of the request itself. Change: 429 and 503 refuse for want of room, other 4xx but 408 refuse the request; what is left may have run, counts against the engine and goes the way of an interrupted stream, in the end with the run state "unknown".

--- a/cmd/router/office/run.go
+++ b/cmd/router/office/run.go
@@ -54,15 +54,27 @@
 	case errors.As(err, &unsent):
 		es.health.RecordFailure()
 		return EngineUnavailable{Reason: "unreachable"}
-	case errors.As(err, &status) && status.Status() < http.StatusInternalServerError && status.Status() != http.StatusTooManyRequests:
-		return Rejected{Problem: vanillalug.NewProblem(status.Status(), "engine-refused", status.Body())}
 	case errors.As(err, &status):
-		return EngineUnavailable{Reason: "busy"}
+		return statusResult(es, status)
 	}
 	es.health.RecordFailure()
 	return Interrupted{Reason: err.Error(), Crashed: reception.ConnectionEnded(err)}
 }
 
+// statusResult returns the result of a request that an engine responded to with an error. Only a refusal for want of
+// room, and one of the request itself, say that the engine hasn't run it.
+func statusResult(es *engineState, e *courier.StatusError) Result {
+	switch status := e.Status(); {
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return EngineUnavailable{Reason: "busy"}
+	case status == http.StatusRequestTimeout || status < http.StatusBadRequest || status >= http.StatusInternalServerError:
+		es.health.RecordFailure()
+		return Interrupted{Reason: e.Error()}
+	default:
+		return Rejected{Problem: vanillalug.NewProblem(status, "engine-refused", e.Body())}
+	}
+}
+
 // resume continues a response that another router was streaming.
 func (r *Router) resume(ctx context.Context, es *engineState, e vanillalug.Engine, q courier.RelayRequest, sink Sink) Result {
 	es.handle(desk.Adopted{Request: desk.NewRequest(q.Request, q.Workspace)})
