--- a/crew/change_log_test.go
+++ b/crew/change_log_test.go
@@ -106,6 +106,23 @@
 	})
 }
 
+// TestPeerLearnsThatTargetDrained guards against a peer that uses a target which it never saw drain, as it gets a late
+// heartbeat of it as that came.
+func TestPeerLearnsThatTargetDrained(t *testing.T) {
+	ahead, behind := NewView(), NewView()
+	drained, other := target("a", 2, Draining), target("a", 1, Ready)
+	ahead.Handle(Changed{At: start, Target: drained, Revision: rev(1)})
+	ahead.Handle(Changed{At: start, Target: other, Revision: rev(2)})
+	behind.Handle(Changed{At: start, Target: other, Revision: rev(2)})
+	ahead.Handle(Changed{At: start, Target: target("a", 2, Ready), Revision: rev(3)})
+	changes, ok := ahead.ChangesSince(behind.Digest(), behind.Revision())
+	require.True(t, ok)
+	behind.Handle(Delta{Digest: behind.Digest(), Changes: changes, Revision: ahead.Revision()})
+	require.Empty(t, ahead.Usable())
+	require.Empty(t, behind.Usable())
+	require.Equal(t, ahead.Digest(), behind.Digest())
+}
+
 // TestChangeLogIsBounded checks that a view keeps only its newest changes.
 func TestChangeLogIsBounded(t *testing.T) {
 	v := NewView()
