soak: long failures, heartbeats of earlier runs, streams that come together

The route of resumable streams is one of engines now, as only these have prompts to read.

TestLongRefusalLeavesNothing has a third case, of a body that pauses one byte later; without it the mutant of its mend was missed.

--- a/cmd/router/gateway/long_refusal_test.go
+++ b/cmd/router/gateway/long_refusal_test.go
@@ -19,9 +19,9 @@
 // restDelay is the time between the two parts of a long refusal, which is longer than a request takes.
 const restDelay = 50 * time.Millisecond
 
-// newLongRefuser returns the address of a target that refuses its first request, with a body of which the last part
-// comes late, and runs the others.
-func newLongRefuser(t *testing.T, body string) string {
+// newLongRefuser returns the address of a target that refuses its first request, with a body of which all but the first
+// bytes comes late, and runs the others.
+func newLongRefuser(t *testing.T, body string, first int) string {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
@@ -32,13 +32,13 @@
 			if err != nil {
 				return
 			}
-			go serveLongRefusal(c, body, refused)
+			go serveLongRefusal(c, body, first, refused)
 		}
 	}()
 	return l.Addr().String()
 }
 
-func serveLongRefusal(c net.Conn, body string, refused *atomic.Bool) {
+func serveLongRefusal(c net.Conn, body string, first int, refused *atomic.Bool) {
 	defer func() { _ = c.Close() }()
 	in := bufio.NewReader(c)
 	for {
@@ -58,9 +58,9 @@
 		platformtest.SetNotRun(head)
 		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n")
 		_ = head.Write(c)
-		_, _ = fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", len(body), body[:maxStrayBytes])
+		_, _ = fmt.Fprintf(c, "Content-Length: %d\r\n\r\n%s", len(body), body[:first])
 		time.Sleep(restDelay)
-		_, _ = io.WriteString(c, body[maxStrayBytes:])
+		_, _ = io.WriteString(c, body[first:])
 	}
 }
 
@@ -68,18 +68,22 @@
 // request on the connection.
 func TestLongRefusalLeavesNothing(t *testing.T) {
 	response := "HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: second\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-	tests := map[string]string{
-		"rest is no response": strings.Repeat("x", beyondBuffer),
-		"rest is a response":  strings.Repeat("x", maxStrayBytes) + response,
+	tests := map[string]struct {
+		rest  string
+		first int
+	}{
+		"rest is no response":                  {strings.Repeat("x", beyondBuffer), maxStrayBytes},
+		"rest is a response":                   {response, maxStrayBytes},
+		"rest is a response, one byte further": {response, maxStrayBytes + 1},
 	}
-	for name, body := range tests {
+	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			tr := newTestRouter(t)
 			stand, err := platformtest.NewTarget("p1", plainService, false)
 			require.NoError(t, err)
 			t.Cleanup(stand.Close)
 			entry := stand.Entry("ready")
-			entry["address"] = newLongRefuser(t, body)
+			entry["address"] = newLongRefuser(t, strings.Repeat("x", tt.first)+tt.rest, tt.first)
 			tr.store.PutJSON("servers", "p1", entry)
 			tr.waitReady(1)
 			w := tr.post("/open/x", "first", "work")
--- a/cmd/soak/fleet/changes.go
+++ b/cmd/soak/fleet/changes.go
@@ -56,10 +56,12 @@
 	}
 	prompts := route("/prompt/", platformtest.Streaming, promptService, false)
 	prompts.Engine = true
+	streams := route("/stream/", platformtest.Streaming, engineService, true)
+	streams.Engine = h.hardLoad
 	table := append(h.furtherRoutes(v, route), cold, prompts,
 		route("/safe/", platformtest.Idempotent, plainService, false),
 		route("/once/", platformtest.NonIdempotent, plainService, false),
-		route("/stream/", platformtest.Streaming, engineService, true),
+		streams,
 		route("/broken/", platformtest.Streaming, engineService, false),
 		route(versionPath(v), platformtest.Idempotent, plainService, false))
 	h.store.PutJSON("op", "config", platformtest.RoutingTable(v, []string{APIKey}, table...))
--- a/cmd/soak/fleet/run.go
+++ b/cmd/soak/fleet/run.go
@@ -33,6 +33,10 @@
 	deadlyStream = 1<<20 + 6
 	// lateStream is that of LateHeartbeats.
 	lateStream = 1<<20 + 7
+	// earlierStream is that of LateEarlierRuns.
+	earlierStream = 1<<20 + 8
+	// failLongStream is that of FailLong.
+	failLongStream = 1<<20 + 9
 )
 
 // Report is the result of a run.
@@ -84,6 +88,9 @@
 	callers.Wait()
 	others.Wait()
 	h.violate(h.checkRecovery()...)
+	if h.hardLoad {
+		h.violate(h.checkPrompts()...)
+	}
 	time.Sleep(completionTime)
 	h.violate(h.Check(callersStopped)...)
 	report.Violations, report.Events = h.violations, h.Events()
@@ -111,7 +118,7 @@
 func (h *Harness) startChanges(seed uint64, length time.Duration) (wait func() error) {
 	end := time.Now().Add(length)
 	var changes sync.WaitGroup
-	var reconfigureErr, deadlyErr, lateErr error
+	var reconfigureErr, deadlyErr, lateErr, earlierErr error
 	changes.Go(func() { h.RestoreStore(rand.New(rand.NewPCG(seed, restoreStream)), end) })
 	changes.Go(func() { h.LimitTargets(rand.New(rand.NewPCG(seed, limitStream)), end) })
 	changes.Go(func() { h.KillAllRouters(rand.New(rand.NewPCG(seed, killAllStream)), length) })
@@ -121,11 +128,13 @@
 		changes.Go(func() { h.violate(h.CrowdRouter(rand.New(rand.NewPCG(seed, crowdStream)), length)...) })
 		changes.Go(func() { h.EvacuatePlaces(rand.New(rand.NewPCG(seed, evacuateStream)), end) })
 		changes.Go(func() { lateErr = h.LateHeartbeats(rand.New(rand.NewPCG(seed, lateStream)), end) })
+		changes.Go(func() { earlierErr = h.LateEarlierRuns(rand.New(rand.NewPCG(seed, earlierStream)), end) })
+		changes.Go(func() { h.FailLong(rand.New(rand.NewPCG(seed, failLongStream)), end) })
 		changes.Go(func() { deadlyErr = h.SendDeadlyParts(rand.New(rand.NewPCG(seed, deadlyStream)), end) })
 	}
 	return func() error {
 		changes.Wait()
-		return errors.Join(reconfigureErr, deadlyErr, lateErr)
+		return errors.Join(reconfigureErr, deadlyErr, lateErr, earlierErr)
 	}
 }
 
